--- /dev/null
+++ b/src/fakes.hpp
@@ -0,0 +1,36 @@
+#pragma once
+// Stand-ins for what duneturn meets outside: model servers, senders, the platform.
+#include "http.hpp"
+
+namespace dt {
+
+/// What a server of these weights says as event `i` (from 1) to this body: the same on
+/// every server, so that a sender can tell a right reply from any other.
+auto fakePiece(View body, View weights, std::int64_t i) -> Str;
+auto fakeWhole(View body, View weights) -> Str;
+
+struct FakeServerOptions {
+    Str listen, name = "server", weights = "w1", pool = "model", log;
+    int slots = 8;
+    Us tokenUs = 20 * MS, prefillUs = 100, plainUs = 2 * MS, warmUs = 20 * SEC;
+    bool cold = false;
+};
+auto fakeServerRun(const FakeServerOptions& o) -> int;
+
+struct FakeSenderOptions {
+    Str day, report;
+    std::vector<Str> nodes;
+    Us duration = 30 * SEC;
+    double scale = 1;
+    std::uint64_t seed = 1;
+};
+auto fakeSenderRun(const FakeSenderOptions& o) -> int;
+
+struct FakePlatformOptions {
+    Str servers, listen;
+    std::vector<Str> nodes;
+    Us every = SEC;
+};
+auto fakePlatformRun(const FakePlatformOptions& o) -> int;
+
+}  // namespace dt
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,161 @@
+// duneturn: one program, the role is its first word.
+#include <sys/stat.h>
+
+#include <sstream>
+
+#include <gflags/gflags.h>
+
+#include "ctl.hpp"
+#include "daemon.hpp"
+#include "fakes.hpp"
+
+DEFINE_string(settings, "", "settings file (JSON); flags are laid over it");
+DEFINE_string(node, "", "this node's name; ctl: a node's operator address");
+DEFINE_string(district, "", "the zone this machine stands in");
+DEFINE_string(region, "", "the region this machine stands in");
+DEFINE_string(peer, "", "IP:PORT towards the other processes");
+DEFINE_string(sender, "", "IP:PORT towards the senders");
+DEFINE_string(operator, "", "IP:PORT towards operators and the platform");
+DEFINE_string(seeds, "", "peer addresses of other processes, with commas");
+DEFINE_string(roster, "", "core: names of the fleet's nodes at its founding, with commas");
+DEFINE_string(seats, "", "core: names of the core nodes at its founding, with commas");
+DEFINE_string(data, "", "core: the data folder");
+DEFINE_int64(drain_us, 10000000, "how long streams may go on after SIGTERM, in us");
+DEFINE_int32(workers, 3, "worker threads");
+DEFINE_bool(check, false, "check the settings and stop");
+DEFINE_bool(json, false, "JSON output");
+DEFINE_bool(once, false, "ctl watch: show what is remembered, then stop");
+DEFINE_int64(base, -1, "ctl apply, change: the configuration generation this rests on");
+DEFINE_string(key, "", "ctl: idempotency key of an order");
+DEFINE_string(listen, "", "fakes: IP:PORT to listen on");
+DEFINE_string(name, "server", "fake-server: its name");
+DEFINE_string(weights, "w1", "fake-server: weight version");
+DEFINE_int32(slots, 8, "fake-server: exchanges at once");
+DEFINE_int64(token_us, 20000, "fake-server: time for a token");
+DEFINE_int64(prefill_us, 100, "fake-server: time to read a prompt token");
+DEFINE_int64(plain_us, 2000, "fake-server: time for a plain reply");
+DEFINE_bool(cold, false, "fake-server: begins cold");
+DEFINE_string(log, "", "fake-server: file for what it ran");
+DEFINE_string(servers, "", "fake-platform: the listing");
+DEFINE_string(nodes, "", "fakes: node addresses, with commas");
+DEFINE_string(day, "", "fake-sender: the day's kinds");
+DEFINE_string(report, "", "fake-sender: file for the report");
+DEFINE_int64(duration_us, 30000000, "fake-sender: how long to send");
+DEFINE_double(scale, 1, "fake-sender: factor on all rates");
+DEFINE_uint64(seed, 1, "seed of all chance");
+
+namespace dt {
+
+static auto commas(const Str& s) -> std::vector<Str> {
+    auto o = std::vector<Str>();
+    auto ss = std::stringstream(s);
+    for (auto t = Str(); std::getline(ss, t, ',');)
+        if (!t.empty()) o.push_back(t);
+    return o;
+}
+
+static auto usage() -> Str {
+    return R"(duneturn ROLE [flags]
+
+  edge           serves senders on this machine
+  core           the same, and keeps the operator's word on this machine's disk
+  ctl            the operators' command line (duneturn ctl --help)
+  compare A B    where the beliefs of two nodes differ (operator addresses)
+  fake-server, fake-sender, fake-platform   stand-ins for trying and testing
+
+edge, core:  --settings FILE, or --node --district --region --peer --sender --operator
+             --seeds [--data --roster --seats]; --check, --drain_us N, --workers N
+fake-server: --listen --name --weights --slots --token_us --prefill_us --plain_us --cold --log
+fake-platform: --servers FILE --nodes OPERATOR,… --listen
+fake-sender: --day FILE --nodes SENDER,… --duration_us --scale --seed --report
+Exit codes: 0 done, 1 failed, 2 wrong use or settings.
+)";
+}
+
+static auto daemonMain(bool core) -> int {
+    auto over = std::map<Str, Str>();
+    for (auto k : {"node", "district", "region", "peer", "sender", "operator", "seeds", "roster", "seats", "data"}) {
+        auto i = gflags::CommandLineFlagInfo();
+        if (gflags::GetCommandLineFlagInfo(k, &i) && !i.is_default) over[k] = i.current_value;
+    }
+    auto s = settingsRead(FLAGS_settings, over);
+    auto fs = s ? std::vector<Fault>() : s.error().faults;
+    if (s && core && s->data.empty()) fs.push_back({"/data", "missing: a core wants a data folder"});
+    if (s && core && s->seats.empty()) fs.push_back({"/seats", "missing: a core wants the names of the core nodes"});
+    if (s && core && s->roster.empty()) fs.push_back({"/roster", "missing: a core wants the names of the nodes"});
+    if (FLAGS_drain_us < 0) fs.push_back({"--drain_us", "wants 0 or more"});
+    if (FLAGS_workers < 1 || FLAGS_workers > 64) fs.push_back({"--workers", "wants 1 to 64"});
+    for (auto& f : fs) fmt::print(stderr, "duneturn: settings: {}: {}\n", f.path, f.why);
+    if (!fs.empty()) return 2;
+    if (FLAGS_check) {
+        fmt::print("the settings are sound\n");
+        return 0;
+    }
+    auto o = DaemonOptions();
+    o.st = *s;
+    o.core = core;
+    o.drain = FLAGS_drain_us;
+    o.workers = FLAGS_workers;
+    return daemonRun(o);
+}
+
+static auto run(int argc, char** argv) -> int {
+    auto role = Str(argc > 1 ? argv[1] : "");
+    if (role == "--version" || role == "version") {
+        fmt::print("duneturn {} (wire {})\n", VERSION, WIRE);
+        return 0;
+    }
+    if (role.empty() || role == "--help" || role == "help") {
+        fmt::print("{}", usage());
+        return role.empty() ? 2 : 0;
+    }
+    for (auto i = 2; i < argc; i++) {
+        auto a = Str(argv[i]);
+        if (a == "--help" || a == "-h") {
+            fmt::print("{}", role == "ctl" ? ctlHelp() : usage());
+            return 0;
+        }
+        if (!a.starts_with("-") || a == "-") continue;
+        if (a == "--") break;
+        auto n = a.substr(a.find_first_not_of('-'));
+        auto eq = n.find('=');
+        n = n.substr(0, eq);
+        auto v = gflags::CommandLineFlagInfo();
+        if (!gflags::GetCommandLineFlagInfo(n.c_str(), &v) && !(n.starts_with("no") && gflags::GetCommandLineFlagInfo(n.c_str() + 2, &v))) {
+            fmt::print(stderr, "duneturn: unknown flag --{}\n", n);
+            return 2;
+        }
+        auto val = eq == Str::npos ? (v.type == "bool" ? Str("true") : i + 1 < argc ? Str(argv[i + 1]) : Str()) : a.substr(a.find('=') + 1);
+        if (gflags::SetCommandLineOption(v.name.c_str(), val.c_str()).empty()) {
+            fmt::print(stderr, "duneturn: --{}: not a fitting value: {}\n", n, val);
+            return 2;
+        }
+    }
+    argc--;
+    argv++;
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    auto args = std::vector<Str>(argv + 1, argv + argc);
+    if (role == "edge") return daemonMain(false);
+    if (role == "core") return daemonMain(true);
+    if (role == "ctl") return ctlRun({FLAGS_node, FLAGS_key, FLAGS_base, FLAGS_json, FLAGS_once}, args);
+    if (role == "compare") {
+        if (args.size() == 2) return compareRun(args[0], args[1], FLAGS_json);
+        fmt::print(stderr, "duneturn compare: wants two operator addresses\n");
+        return 2;
+    }
+    if (role == "fake-server" || role == "fake-platform")
+        if (!FLAGS_listen.empty() || role == "fake-server")
+            if (auto a = addrParse(FLAGS_listen); !a) {
+                fmt::print(stderr, "duneturn {}: --listen: {}\n", role, a.error());
+                return 2;
+            }
+    if (role == "fake-server") return fakeServerRun({FLAGS_listen, FLAGS_name, FLAGS_weights, "model", FLAGS_log, FLAGS_slots, FLAGS_token_us, FLAGS_prefill_us, FLAGS_plain_us, 20 * SEC, FLAGS_cold});
+    if (role == "fake-platform") return fakePlatformRun({FLAGS_servers, FLAGS_listen, commas(FLAGS_nodes), SEC});
+    if (role == "fake-sender") return fakeSenderRun({FLAGS_day, FLAGS_report, commas(FLAGS_nodes), FLAGS_duration_us, FLAGS_scale, FLAGS_seed});
+    fmt::print(stderr, "duneturn: no such role: {}\n{}", role, usage());
+    return 2;
+}
+
+}  // namespace dt
+
+auto main(int argc, char** argv) -> int { return dt::run(argc, argv); }
--- /dev/null
+++ b/src/node.cpp
@@ -0,0 +1,942 @@
+#include "node.hpp"
+
+#include <algorithm>
+
+namespace dt {
+
+Node::Node(const Settings& s, NodePort& p, Counters& c, std::int64_t boot, std::uint64_t seed) : st_(s), po_(p), ct_(c), rng_{seed} {
+    me_.node = s.node;
+    me_.boot = boot;
+    me_.district = s.district;
+    me_.region = s.region;
+    me_.peer = s.peer;
+    me_.sender = s.sender;
+    me_.opr = s.opr;
+    me_.blank = true;
+}
+Node::~Node() = default;
+
+auto Node::startCore(const DiskState& s, const Str& fresh, Us now) -> void {
+    now_ = now;
+    vt_ = std::make_unique<Voter>(*this, ct_, rng_.next());
+    vt_->start(s, fresh, now);
+    touchMe(now);
+}
+
+auto Node::env() const -> wire::Envelope {
+    auto e = wire::Envelope();
+    e.wire = WIRE;
+    e.node = me_.node;
+    return e;
+}
+
+auto Node::row(const Str& n) const -> const wire::Row* {
+    if (n == me_.node) return &me_;
+    auto i = rows_.find(n);
+    return i == rows_.end() ? nullptr : &i->second.r;
+}
+auto Node::alive(const Str& n, Us now) const -> bool {
+    if (n == me_.node) return true;
+    auto i = rows_.find(n);
+    return i != rows_.end() && now - i->second.at < ALIVE;
+}
+auto Node::aliveNodes(Us now) const -> std::vector<Str> {
+    auto o = std::vector<Str>{me_.node};
+    for (auto& [n, k] : rows_)
+        if (now - k.at < ALIVE) o.push_back(n);
+    std::sort(o.begin(), o.end());
+    return o;
+}
+auto Node::leaderNode(Us now) const -> Str {
+    auto b = Str();
+    auto bt = std::pair<std::int64_t, std::int64_t>(-1, -1);
+    auto see = [&](const wire::Row& r) {
+        if (r.leader && std::pair(r.reign, r.term) > bt) bt = {r.reign, r.term}, b = r.node;
+    };
+    see(me_);
+    for (auto& [n, k] : rows_)
+        if (now - k.at < ALIVE) see(k.r);
+    return b;
+}
+
+// ---- the tree of relays
+
+auto Node::Tree::kids(const Str& n) const -> std::vector<Str> {
+    auto o = std::vector<Str>();
+    for (auto& [k, u] : up)
+        if (u == n) o.push_back(k);
+    return o;
+}
+
+// Every node works the same tree out of what it knows: the leader at the root, one
+// relay a district below it, the district's nodes below their relay, four to each.
+// Where two nodes know different things the tree has gaps; pulling closes them.
+auto Node::tree(Us now) const -> Tree {
+    auto t = Tree();
+    auto root = leaderNode(now);
+    auto ns = aliveNodes(now);
+    if (root.empty()) {
+        for (auto& n : ns)
+            if (root.empty() || rank("root", n) > rank("root", root)) root = n;
+    }
+    auto by = std::map<Str, std::vector<Str>>();
+    for (auto& n : ns) by[row(n)->district].push_back(n);
+    for (auto& [d, v] : by) {
+        auto key = d + "/" + root;
+        std::sort(v.begin(), v.end(), [&](auto& a, auto& b) {
+            if ((a == root) != (b == root)) return a == root;
+            return rank(key, a) > rank(key, b);
+        });
+        for (auto i = std::size_t(0); i < v.size(); i++) {
+            if (v[i] == root) continue;
+            t.up[v[i]] = i == 0 ? root : v[(i - 1) / 4];
+        }
+    }
+    return t;
+}
+
+// ---- what is said to others
+
+auto Node::touchMe(Us) -> void {
+    me_.blank = true;
+    if (vt_) {
+        me_.disk = vt_->disk();
+        me_.blank = vt_->blank();
+        me_.term = vt_->term();
+        me_.leader = vt_->leads();
+    }
+    me_.reign = word_.reign;
+    me_.gen = word_.gen;
+    me_.marks.clear();
+    for (auto& [n, s] : servers_)
+        if (s.l.state == LEAVING) {
+            auto m = wire::Mark();
+            m.server = n;
+            m.gen = s.l.gen;
+            me_.marks.push_back(m);
+        }
+}
+
+auto Node::beatText(Us now) -> wire::Envelope {
+    auto e = env();
+    auto b = wire::Beat();
+    b.rows.push_back(me_);
+    for (auto& [n, k] : rows_)
+        if (now - k.at < FORGET) b.rows.push_back(k.r);
+    for (auto& [n, s] : servers_) {
+        b.listings.push_back(s.l);
+        b.listings.back().age = now - s.told;
+        if (s.seen && now - s.seen < SEEN) {
+            b.loads.push_back(s.d);
+            b.loads.back().age = now - s.seen;
+        }
+    }
+    e.__set_beat(b);
+    return e;
+}
+
+auto Node::sendBeat(Us now, bool all) -> void {
+    me_.beat++;
+    sentAt_[me_.beat] = now;
+    while (sentAt_.size() > 64) sentAt_.erase(sentAt_.begin());
+    touchMe(now);
+    me_.wall = wall_;
+    me_.echo.clear();
+    for (auto& [n, k] : rows_) {
+        auto c = wire::Echo();
+        c.node = n;
+        c.boot = k.r.boot;
+        c.beat = k.r.beat;
+        me_.echo.push_back(c);
+    }
+    auto to = std::set<Str>();
+    auto t = tree(now);
+    for (auto& n : t.kids(me_.node)) to.insert(n);
+    if (all) {
+        if (auto i = t.up.find(me_.node); i != t.up.end()) to.insert(i->second);
+        // The few that rendezvous hashing names for this node.
+        auto ns = aliveNodes(now);
+        ns.erase(std::remove(ns.begin(), ns.end(), me_.node), ns.end());
+        std::sort(ns.begin(), ns.end(), [&](auto& a, auto& b) { return rank(me_.node, a) > rank(me_.node, b); });
+        for (auto i = std::size_t(0); i < ns.size() && i < 3; i++) to.insert(ns[i]);
+        for (auto& [n, k] : rows_)
+            if (voterDisks_.count(k.r.disk)) to.insert(n);
+    }
+    auto e = beatText(now);
+    for (auto& n : to)
+        if (auto r = row(n); r && n != me_.node) po_.tell(r->peer, e);
+    if (all && !st_.seeds.empty()) {
+        // One seed a round joins what a cut has parted, whoever lives there now.
+        auto& s = st_.seeds[seed_++ % st_.seeds.size()];
+        if (s != me_.peer) po_.tell(s, e);
+    }
+    ct_.add("beats_sent_total");
+}
+
+auto Node::wordTo(const Str& addr) -> void {
+    auto e = env();
+    auto w = wire::Word();
+    w.reign = word_.reign;
+    w.gen = word_.gen;
+    w.doc = word_.text();
+    e.__set_word(w);
+    po_.tell(addr, e);
+}
+
+// ---- freshness
+
+auto Node::holds(const wire::Row& r, std::int64_t gen) const -> bool { return std::pair(r.reign, r.gen) >= std::pair(word_.reign, gen); }
+
+// A majority of voters, or of the roster, was heard within the lease and knew of no
+// newer word than is held here. Every acknowledged order is held by a majority of both.
+auto Node::counted(Us now, bool settledVoters, bool wordOnly) const -> bool {
+    auto v = std::size_t(0), n = std::size_t(0);
+    auto see = [&](const wire::Row& r) {
+        if (std::pair(r.reign, r.gen) > std::pair(word_.reign, word_.gen)) return;
+        if (!r.blank && voterDisks_.count(r.disk) && (r.settled || !settledVoters)) v++;
+        if (r.settled && roster_.count(r.node)) n++;
+    };
+    see(me_);
+    for (auto& [k, x] : rows_)
+        if (x.t0 && now - x.t0 <= LEASE) see(x.r);
+    (void)wordOnly;
+    return v * 2 > voterDisks_.size() || n * 2 > roster_.size();
+}
+
+auto Node::fresh(Us now) const -> bool {
+    if (broken.noLease) return word_.gen > 0;
+    return word_.gen > 0 && me_.settled && counted(now, true, false);
+}
+auto Node::ready(Us now) const -> bool {
+    if (me_.stopping || !fresh(now) || word_.configGen() == 0) return false;
+    return std::any_of(servers_.begin(), servers_.end(), [](auto& s) { return s.second.l.state == UP; });
+}
+
+auto Node::proven(Proof& p, const std::function<bool(const wire::Row&)>& f, Us now) const -> bool {
+    auto both = [&](const std::function<bool(const wire::Row&, Us)>& g) {
+        auto v = std::size_t(0), n = std::size_t(0);
+        auto see = [&](const wire::Row& r, Us t0) {
+            if (!f(r) || !g(r, t0)) return;
+            v += !r.blank && voterDisks_.count(r.disk);
+            n += roster_.count(r.node);
+        };
+        see(me_, now);
+        for (auto& [k, x] : rows_) see(x.r, x.t0);
+        return v * 2 > voterDisks_.size() && n * 2 > roster_.size();
+    };
+    if (broken.ackEarly) return true;
+    if (!p.a) {
+        if (!both([](auto&, Us) { return true; })) return false;
+        p.a = now;
+        p.boots[me_.node] = me_.boot;
+        for (auto& [k, x] : rows_)
+            if (f(x.r)) p.boots[k] = x.r.boot;
+        return false;
+    }
+    auto ok = both([&](const wire::Row& r, Us t0) {
+        auto i = p.boots.find(r.node);
+        return i != p.boots.end() && i->second == r.boot && t0 >= p.a;
+    });
+    // One that fell away meanwhile must not hold the rest up for good.
+    if (!ok && now - p.a > SEC) p = {};
+    return ok;
+}
+
+// ---- hearing
+
+auto Node::hear(const wire::Envelope& e, Us now) -> void {
+    now_ = now;
+    if (e.wire < WIRE - 1 || e.wire > WIRE + 1) {
+        ct_.add("wire_version_dropped_total");
+        return;
+    }
+    if (e.__isset.beat) {
+        auto t = tree(now);
+        merge(e.beat, now);
+        auto i = t.up.find(me_.node);
+        // News from above goes on down at once, not at the next beat.
+        if (i != t.up.end() && i->second == e.node && !t.kids(me_.node).empty()) sendBeat(now, false);
+    }
+    if (e.__isset.word) takeWord(e.word, now);
+    if (e.__isset.wordAsk && std::pair(e.wordAsk.reign, e.wordAsk.gen) < std::pair(word_.reign, word_.gen))
+        if (auto r = row(e.node)) wordTo(r->peer);
+    if (e.__isset.orderAsk) serve(e.orderAsk.back, e.orderAsk.id, e.orderAsk.body, e.orderAsk.readback, now);
+    if (e.__isset.orderReply)
+        for (auto i = std::size_t(0); i < orders_.size(); i++)
+            if (orders_[i].id == e.orderReply.id) {
+                // A denial that only says "ask another" is tried again until the time is up.
+                if (e.orderReply.status == 421) {
+                    orders_[i].sent = false;
+                    orders_[i].next = now + 200 * MS;
+                    break;
+                }
+                auto o = Outcome{e.orderReply.status, e.orderReply.body};
+                auto id = orders_[i].id;
+                orders_.erase(orders_.begin() + std::ptrdiff_t(i));
+                po_.done(id, o);
+                break;
+            }
+    if (e.__isset.grant && e.grant.boot == me_.boot) {
+        auto& g = grants_[e.node];
+        if (e.grant.seq > g) {
+            g = e.grant.seq;
+            if (onGrant) onGrant(e.grant.credit);
+        }
+    }
+    if (vt_ && !e.disk.empty()) {
+        vt_->hear(e, now);
+        jobs(now);
+    }
+}
+
+auto Node::merge(const wire::Beat& b, Us now) -> void {
+    auto ask = Str();
+    auto best = std::pair(word_.reign, word_.gen);
+    for (auto& r : b.rows) {
+        if (r.node.empty() || r.node.size() > 256 || r.peer.size() > 64) continue;
+        if (r.node == me_.node) {
+            if (r.boot > me_.boot && r.peer != me_.peer) ct_.add("own_name_elsewhere_total");
+            continue;
+        }
+        auto i = rows_.find(r.node);
+        if (i == rows_.end()) {
+            if (rows_.size() > 4096) continue;
+            i = rows_.emplace(r.node, Known()).first;
+            logf("node {} known at {}", r.node, r.peer);
+        }
+        auto& k = i->second;
+        if (std::pair(r.boot, r.beat) <= std::pair(k.r.boot, k.r.beat)) continue;
+        if (k.r.boot != r.boot) k.t0 = 0;
+        if (!k.at || now - k.at >= ALIVE) ct_.add("node_heard_again_total");
+        k.r = r;
+        k.at = now;
+        for (auto& c : r.echo)
+            if (c.node == me_.node && c.boot == me_.boot)
+                if (auto s = sentAt_.find(c.beat); s != sentAt_.end()) k.t0 = std::max(k.t0, s->second);
+        for (auto& m : r.marks) {
+            if (broken.noMarks) break;
+            auto& s = servers_[m.server];
+            if (m.gen < s.l.gen) continue;
+            if (m.gen > s.l.gen || s.l.state != LEAVING) s.told = now;
+            s.l.server = m.server;
+            s.l.gen = m.gen;
+            s.l.state = LEAVING;
+        }
+        if (std::pair(r.reign, r.gen) > best) {
+            best = {r.reign, r.gen};
+            ask = r.peer;
+        }
+    }
+    for (auto& l : b.listings) {
+        if (l.server.empty() || l.server.size() > 256) continue;
+        auto i = servers_.find(l.server);
+        if (i == servers_.end()) {
+            if (servers_.size() > 4096) continue;
+            i = servers_.emplace(l.server, Server()).first;
+            i->second.first = now;
+        }
+        auto& s = i->second;
+        // Of the same generation, leaving wins: the mark may have come ahead of the listing.
+        if (l.gen < s.l.gen || (l.gen == s.l.gen && s.l.state > l.state)) continue;
+        if (l.gen == s.l.gen && s.l.state == l.state && !s.l.address.empty()) {
+            s.told = std::max(s.told, now - l.age);
+            continue;
+        }
+        if (l.inc != s.l.inc || s.l.state == GONE) s.first = now, s.seen = 0;
+        s.l = l;
+        s.told = now - l.age;
+        listTold_ = std::max(listTold_, s.told);
+    }
+    for (auto& d : b.loads) {
+        auto i = servers_.find(d.server);
+        if (i == servers_.end() || d.age < 0) continue;
+        if (auto t = now - d.age; t > i->second.seen) {
+            i->second.d = d;
+            i->second.seen = t;
+        }
+    }
+    // A gap in the news is closed by pulling it from the one who is known to hold it.
+    if (!ask.empty() && now >= pullAt_) {
+        pullAt_ = now + 50 * MS;
+        auto e = env();
+        auto w = wire::WordAsk();
+        w.reign = word_.reign;
+        w.gen = word_.gen;
+        e.__set_wordAsk(w);
+        po_.tell(ask, e);
+        ct_.add("word_pulled_total");
+    }
+}
+
+auto Node::takeWord(const wire::Word& w, Us now) -> void {
+    // A voter takes its word from its own disk only: what it says it holds must last.
+    if (vt_ && !vt_->blank()) {
+        if (w.reign <= vt_->reign()) return;
+        // Two may rebuild at once: a disk that voted in one such reign stays with it.
+        // A later rebuild has seen a majority of these seats lost.
+        vt_->abandon(w.reign / REIGN > vt_->reign() / REIGN, now);
+        return;
+    }
+    if (!broken.oldWord && std::pair(w.reign, w.gen) <= std::pair(word_.reign, word_.gen)) {
+        ct_.add("word_old_dropped_total");
+        return;
+    }
+    auto n = Word();
+    if (!n.load(w.doc) || n.reign != w.reign || n.gen != w.gen) {
+        ct_.add("word_malformed_total");
+        return;
+    }
+    voterWord(n, "", {});
+}
+
+auto Node::voterWord(const Word& w, const Str& key, const Outcome& o) -> void {
+    auto rose = std::pair(w.reign, w.gen) > std::pair(word_.reign, word_.gen);
+    if (rose || broken.oldWord) {
+        auto cg = word_.configGen();
+        word_ = w;
+        voterDisks_.clear();
+        roster_.clear();
+        for (auto& v : w.voters()) voterDisks_.insert(v.disk);
+        for (auto& r : w.roster()) roster_.insert(r);
+        ct_.set("word_generation", w.gen);
+        ct_.set("word_reign", w.reign);
+        ct_.set("config_generation", w.configGen());
+        if (cg != w.configGen()) logf("configuration generation {} in force here", w.configGen());
+        touchMe(now_);
+        if (onWord) onWord();
+        // Down the tree at once.
+        auto t = tree(now_);
+        for (auto& k : t.kids(me_.node))
+            if (auto r = row(k)) wordTo(r->peer);
+        nextBeat_ = std::min(nextBeat_, now_ + 20 * MS);
+    }
+    if (!key.empty())
+        for (auto& j : jobs_)
+            if (j.key == key && !j.gen) {
+                j.gen = w.gen;
+                j.o = o;
+            }
+}
+
+// ---- orders
+
+auto Node::order(std::int64_t id, const Str& op, const Str& key, const Str& body, Us now) -> void {
+    auto b = bodyOf({{"op", jsQuote(op)}, {"key", jsQuote(key)}, {"body", jsQuote(body)}});
+    orders_.push_back({id, b, false, now + 6 * SEC, now, false});
+    ct_.add("orders_taken_total");
+}
+auto Node::read(std::int64_t id, Us now) -> void { orders_.push_back({id, "", true, now + 4 * SEC, now, false}); }
+
+auto Node::replyTo(const Str& back, std::int64_t id, const Outcome& o) -> void {
+    auto e = env();
+    auto r = wire::OrderReply();
+    r.id = id;
+    r.status = o.status;
+    r.body = o.body;
+    e.__set_orderReply(r);
+    if (back == me_.peer) {
+        hear(e, now_);
+        return;
+    }
+    po_.tell(back, e);
+}
+
+auto Node::serve(const Str& back, std::int64_t id, const Str& body, bool read, Us now) -> void {
+    if (!vt_ || !vt_->ready()) {
+        replyTo(back, id, {421, bodyOf({{"error", jsQuote("not the leader")}})});
+        return;
+    }
+    if (read) {
+        jobs_.push_back({id, back, "", true, 0, {}, now + 4 * SEC, {}});
+        jobs_.back().key = fmt::format("r{}", ++jobId_);
+        vt_->read(jobId_, now);
+        return;
+    }
+    auto d = Doc();
+    if (!jsParse(body, d) || !d.IsObject()) return;
+    auto key = jsStr(d, "key");
+    // The same key again: the first outcome stands, once it is safe to tell.
+    if (auto o = vt_->word().outcome(key); o.status) {
+        jobs_.push_back({id, back, key, false, vt_->word().gen, o, now + 5 * SEC, {}});
+        return;
+    }
+    for (auto& j : jobs_)
+        if (!j.read && j.key == key && j.gen == 0) {
+            j.id = id;
+            j.back = back;
+            return;
+        }
+    auto p = orderPrepare(vt_->head(), jsStr(d, "op"), key, jsStr(d, "body"), wall_);
+    if (!p) {
+        ct_.add("orders_denied_total");
+        replyTo(back, id, p.error());
+        return;
+    }
+    jobs_.push_back({id, back, key, false, 0, {}, now + 5 * SEC, {}});
+    if (!vt_->propose(1, *p, now)) {
+        jobs_.pop_back();
+        replyTo(back, id, {503, bodyOf({{"error", jsQuote("the leader's disk takes nothing; the order was not logged")}})});
+    }
+}
+
+auto Node::voterRead(std::int64_t id, bool ok) -> void {
+    auto key = fmt::format("r{}", id);
+    for (auto i = std::size_t(0); i < jobs_.size(); i++)
+        if (jobs_[i].read && jobs_[i].key == key) {
+            if (ok) {
+                jobs_[i].gen = vt_->word().gen;
+                jobs_[i].o = {200, vt_->word().text()};
+            } else {
+                auto j = jobs_[i];
+                jobs_.erase(jobs_.begin() + std::ptrdiff_t(i));
+                replyTo(j.back, j.id, {421, "{}"});
+            }
+            return;
+        }
+}
+
+auto Node::jobs(Us now) -> void {
+    for (auto i = std::size_t(0); i < jobs_.size();) {
+        auto& j = jobs_[i];
+        auto out = Outcome();
+        if (j.gen && j.o.status != 200 && !j.read) out = j.o;
+        else if (j.gen && proven(j.p, [&, g = j.gen](auto& r) { return holds(r, g); }, now)) out = j.o;
+        else if (now >= j.due)
+            out = j.read ? Outcome{503, bodyOf({{"error", jsQuote("no majority confirmed the readback in time")}})}
+                         : Outcome{504, bodyOf({{"error", jsQuote("the outcome is not known")}, {"outcome", jsQuote("unknown")}, {"key", jsQuote(j.key)}})};
+        if (!out.status) {
+            i++;
+            continue;
+        }
+        auto k = j;
+        jobs_.erase(jobs_.begin() + std::ptrdiff_t(i));
+        ct_.add(k.read ? "readbacks_total" : out.status == 200 ? "orders_acknowledged_total" : "orders_denied_total");
+        if (!k.back.empty()) replyTo(k.back, k.id, out);
+    }
+}
+
+// ---- the platform
+
+auto Node::list(std::int64_t id, const Str& body, Us now) -> void {
+    static constexpr auto LISTING = R"({"type":"object","additionalProperties":false,"required":["servers"],"properties":{
+      "servers":{"type":"array","maxItems":4096,"items":{"type":"object","additionalProperties":false,
+        "required":["name","address","region","district","pool"],"properties":{
+        "name":{"type":"string","minLength":1,"maxLength":200},"address":{"type":"string"},"region":{"type":"string"},"district":{"type":"string"},
+        "pool":{"type":"string"},"weights":{"type":"string"},"slots":{"type":"integer","minimum":1,"maximum":10000},
+        "state":{"type":"string","enum":["up","leaving"]},"incarnation":{"type":"integer"}}}}}})";
+    auto d = Doc();
+    if (!jsParse(body, d)) return po_.done(id, {400, errorBody({{"/", "malformed JSON"}})});
+    auto f = jsCheck(d, LISTING);
+    if (f.empty()) {
+        auto i = 0;
+        for (auto& s : d["servers"].GetArray()) {
+            if (auto a = addrParse(jsStr(s, "address")); !a) f.push_back({fmt::format("/servers/{}/address", i), a.error()});
+            i++;
+        }
+    }
+    if (!f.empty()) return po_.done(id, {422, errorBody(f)});
+    auto g = std::int64_t(0);
+    for (auto& [n, s] : servers_) g = std::max(g, s.l.gen);
+    g++;
+    auto has = std::set<Str>();
+    auto w = Wait{id, {}, now + 3 * SEC, {}};
+    for (auto& v : d["servers"].GetArray()) {
+        auto n = jsStr(v, "name");
+        has.insert(n);
+        auto& s = servers_[n];
+        auto inc = jsInt(v, "incarnation");
+        auto was = s.l.state;
+        if (s.l.server.empty() || s.l.inc != inc || s.l.state == GONE) s.first = now, s.seen = 0;
+        s.l.server = n;
+        s.l.address = jsStr(v, "address");
+        s.l.region = jsStr(v, "region");
+        s.l.district = jsStr(v, "district");
+        s.l.pool = jsStr(v, "pool");
+        s.l.weights = jsStr(v, "weights");
+        s.l.slots = std::int32_t(jsInt(v, "slots", 8));
+        s.l.state = jsStr(v, "state", "up") == "up" ? UP : LEAVING;
+        s.l.inc = inc;
+        s.l.gen = g;
+        s.told = now;
+        if (s.l.state == LEAVING && was != LEAVING) {
+            auto m = wire::Mark();
+            m.server = n;
+            m.gen = g;
+            w.ms.push_back(m);
+        }
+    }
+    for (auto& [n, s] : servers_)
+        if (!has.count(n)) {
+            if (s.l.state == UP) {
+                auto m = wire::Mark();
+                m.server = n;
+                m.gen = g;
+                w.ms.push_back(m);
+                s.l.state = LEAVING;
+                s.l.gen = g;
+                s.told = now;
+            }
+        }
+    listTold_ = now;
+    ct_.add("listings_taken_total");
+    touchMe(now);
+    nextBeat_ = now;
+    if (w.ms.empty()) return po_.done(id, {200, "{\"listed\":" + fmt::to_string(has.size()) + "}"});
+    waits_.push_back(w);
+}
+
+auto Node::mark(std::int64_t id, const Str& n, Us now) -> void {
+    auto i = servers_.find(n);
+    if (i == servers_.end()) return po_.done(id, {404, errorBody({{"/server", "not listed: " + n}})});
+    if (i->second.l.state == UP) {
+        auto g = std::int64_t(0);
+        for (auto& [k, s] : servers_) g = std::max(g, s.l.gen);
+        i->second.l.gen = g + 1;
+        i->second.l.state = LEAVING;
+        logf("server {} is leaving", n);
+    }
+    i->second.told = now;
+    auto m = wire::Mark();
+    m.server = n;
+    m.gen = i->second.l.gen;
+    touchMe(now);
+    waits_.push_back({id, {m}, now + 3 * SEC, {}});
+    nextBeat_ = now;
+    ct_.add("marks_taken_total");
+}
+
+auto Node::loadSeen(const Str& n, bool ok, const wire::Load& d, Us now) -> void {
+    auto i = servers_.find(n);
+    if (i == servers_.end()) return;
+    auto& s = i->second;
+    s.misses = ok ? 0 : s.misses + 1;
+    if (!ok && s.misses < 2) return;
+    auto dark = !ok;
+    if (s.seen && s.d.dark != dark) logf("server {} is {}", n, dark ? "dark" : "back");
+    if (ok && s.seen && s.d.boot != d.boot) s.first = now;
+    if (ok) s.d = d;
+    s.d.server = n;
+    s.d.dark = dark;
+    s.d.watcher = me_.node;
+    s.seen = now;
+}
+
+// ---- time
+
+auto Node::tick(Us now, Us wall) -> void {
+    now_ = now;
+    wall_ = wall;
+    if (!started_) started_ = now;
+    if (vt_) vt_->tick(now);
+    touchMe(now);
+    if (now >= nextBeat_) {
+        nextBeat_ = now + BEAT;
+        sendBeat(now, true);
+    }
+    for (auto i = rows_.begin(); i != rows_.end();)
+        if (now - i->second.at >= FORGET) {
+            logf("node {} forgotten", i->first);
+            i = rows_.erase(i);
+        } else ++i;
+    for (auto i = servers_.begin(); i != servers_.end();) {
+        auto& s = i->second;
+        auto lim = s.l.state == UP ? LISTED : MARKED;
+        if (now - s.told >= lim) {
+            logf("server {} lapsed from the listing", i->first);
+            ct_.add("listings_lapsed_total");
+            i = servers_.erase(i);
+        } else ++i;
+    }
+    if (!me_.settled && word_.gen > 0 && counted(now, false, true) && (counted(now, true, false) || listTold_ > started_)) {
+        me_.settled = true;
+        logf("settled: generation {} of reign {}", word_.gen, word_.reign);
+    }
+    me_.ready = ready(now);
+    if (auto f = fresh(now); f != wasFresh_) {
+        wasFresh_ = f;
+        logLine(f ? "fresh: a majority was heard within the lease" : "stale: no majority heard within the lease, new exchanges are denied");
+        ct_.add(f ? "fresh_gained_total" : "fresh_lost_total");
+    }
+    if (now >= nextProbe_) {
+        nextProbe_ = now + 500 * MS;
+        auto ns = aliveNodes(now);
+        for (auto& [n, s] : servers_) {
+            if (s.l.state == GONE || s.l.address.empty()) continue;
+            auto k = 0;
+            for (auto& x : ns) k += rank(n, x) > rank(n, me_.node);
+            if (k < 2) po_.probe(n, s.l.address);
+        }
+    }
+    for (auto i = std::size_t(0); i < waits_.size();) {
+        auto& w = waits_[i];
+        auto ok = proven(w.p, [&](const wire::Row& r) {
+            return std::all_of(w.ms.begin(), w.ms.end(), [&](auto& m) {
+                return std::any_of(r.marks.begin(), r.marks.end(), [&](auto& x) { return x.server == m.server && x.gen >= m.gen; });
+            });
+        }, now);
+        if (!ok && now < w.due) {
+            i++;
+            continue;
+        }
+        auto id = w.id;
+        waits_.erase(waits_.begin() + std::ptrdiff_t(i));
+        po_.done(id, ok ? Outcome{200, "{\"held\":true}"} : Outcome{503, errorBody({{"/", "a majority has not confirmed this; tell it to another node"}})});
+    }
+    for (auto i = std::size_t(0); i < orders_.size();) {
+        auto& o = orders_[i];
+        if (now >= o.due) {
+            auto c = o;
+            orders_.erase(orders_.begin() + std::ptrdiff_t(i));
+            po_.done(c.id, c.read ? Outcome{503, bodyOf({{"error", jsQuote("no leader confirmed the readback in time")}})}
+                                  : Outcome{504, bodyOf({{"error", jsQuote("the outcome is not known")}, {"outcome", jsQuote("unknown")}})});
+            continue;
+        }
+        if (now >= o.next) {
+            o.next = now + SEC;
+            auto l = leaderNode(now);
+            if (l.empty()) o.next = now + 100 * MS;
+            else {
+                o.sent = true;
+                auto id = o.id;
+                auto body = o.body;
+                auto rd = o.read;
+                if (l == me_.node) {
+                    serve(me_.peer, id, body, rd, now);
+                    if (i >= orders_.size() || orders_[i].id != id) continue;
+                } else {
+                    auto e = env();
+                    auto a = wire::OrderAsk();
+                    a.id = id;
+                    a.back = me_.peer;
+                    a.body = body;
+                    a.readback = rd;
+                    e.__set_orderAsk(a);
+                    po_.tell(row(l)->peer, e);
+                }
+            }
+        }
+        i++;
+    }
+    if (vt_) {
+        if (vt_->leads()) {
+            auto of = std::vector<std::pair<Str, Str>>();
+            for (auto& [n, k] : rows_)
+                if (now - k.at < ALIVE && !k.r.disk.empty() && !voterDisks_.count(k.r.disk)) of.emplace_back(n, k.r.disk);
+            vt_->offer(of);
+        }
+        auto un = std::vector<Str>();
+        for (auto& [n, k] : rows_)
+            if (now - k.at < ALIVE && k.r.blank && voterDisks_.count(k.r.disk)) un.push_back(k.r.disk);
+        vt_->untold(un);
+        fire(now, wall);
+        if (vt_->blank()) beginReign(now);
+        else blankSince_ = 0;
+        jobs(now);
+        ct_.set("core_leader", vt_->leads());
+        ct_.set("core_term", vt_->term());
+        ct_.set("core_commit", vt_->commit());
+        ct_.set("disk_bad", vt_->diskBad());
+    }
+    ct_.set("nodes_alive", std::int64_t(aliveNodes(now).size()));
+    ct_.set("servers_listed", std::int64_t(servers_.size()));
+    ct_.set("fresh", wasFresh_);
+    ct_.set("ready", me_.ready);
+}
+
+// Booked moves fire by the median of the nodes' calendars: one clock that jumped
+// moves nothing. That a move fires once is settled in the log, by its state.
+auto Node::fire(Us now, Us wall) -> void {
+    if (!vt_->ready() || now - firedAt_ < 500 * MS) return;
+    auto ws = std::vector<Us>{wall};
+    for (auto& [n, k] : rows_)
+        if (now - k.at < ALIVE) ws.push_back(k.r.wall + (now - k.at));
+    std::nth_element(ws.begin(), ws.begin() + std::ptrdiff_t(ws.size() / 2), ws.end());
+    auto m = ws[ws.size() / 2];
+    for (auto& p : vt_->head().d["plan"].GetArray())
+        if (jsStr(p, "state") == "booked" && jsInt(p, "at") <= m) {
+            firedAt_ = now;
+            auto id = jsStr(p, "id");
+            auto o = orderPrepare(vt_->head(), "fire", "fire-" + id, bodyOf({{"move", jsQuote(id)}}), m);
+            if (o && vt_->propose(1, *o, now)) {
+                logf("plan: move {} fires", id);
+                ct_.add("moves_fired_total");
+            }
+            return;
+        }
+}
+
+// A blank core begins a reign when nothing is left to join: at first, when all seats are
+// blank and nobody holds a word; later, when a majority of disks is lost, from the
+// newest word that a majority of the roster holds.
+auto Node::beginReign(Us now) -> void {
+    if (!leaderNode(now).empty()) {
+        blankSince_ = 0;
+        return;
+    }
+    auto& seats = st_.seats;
+    auto top = word_.gen > 0 ? word_.voters() : std::vector<Seat>();
+    auto any = word_.gen > 0;
+    for (auto& [n, k] : rows_) any = any || k.r.gen > 0;
+    auto go = [&](Us wait) {
+        if (!blankSince_) blankSince_ = now;
+        return now - blankSince_ >= wait;
+    };
+    if (!any) {
+        if (seats.empty() || st_.roster.empty() || seats[0] != me_.node) return;
+        auto vs = std::vector<Seat>();
+        for (auto& s : seats) {
+            auto r = row(s);
+            if (!r || !alive(s, now) || r->disk.empty() || !r->blank) {
+                blankSince_ = 0;
+                return;
+            }
+            vs.push_back({s, r->disk});
+        }
+        auto n = std::size_t(0);
+        for (auto& x : st_.roster) n += alive(x, now);
+        if (n * 2 <= st_.roster.size()) {
+            blankSince_ = 0;
+            return;
+        }
+        if (!go(SEC)) return;
+        auto w = Word();
+        w.found(st_.roster, vs);
+        vt_->found(w, 1, now);
+        return;
+    }
+    if (word_.gen == 0) {
+        blankSince_ = 0;
+        return;
+    }
+    // Rebuild. A seat counts as lost only when a blank disk sits in it and says so.
+    auto vs = std::vector<Seat>();
+    auto first = Str();
+    auto lost = std::size_t(0);
+    for (auto& v : top) {
+        auto r = row(v.seat);
+        if (!r || !alive(v.seat, now) || !r->blank || r->disk.empty() || r->disk == v.disk) continue;
+        lost++;
+        vs.push_back({v.seat, r->disk});
+        if (first.empty()) first = v.seat;
+    }
+    auto n = std::size_t(0);
+    auto newer = false;
+    auto term = std::int64_t(0);
+    auto see = [&](const wire::Row& r) {
+        term = std::max(term, r.term);
+        if (!roster_.count(r.node)) return;
+        if (std::pair(r.reign, r.gen) > std::pair(word_.reign, word_.gen)) newer = true;
+        n += r.settled;
+    };
+    see(me_);
+    for (auto& [k, x] : rows_)
+        if (x.t0 && now - x.t0 <= LEASE) see(x.r);
+    if (lost * 2 <= top.size() || first != me_.node || newer || n * 2 <= roster_.size()) {
+        blankSince_ = 0;
+        return;
+    }
+    if (!go(2 * SEC)) return;
+    auto w = word_;
+    w.reign = (w.reign / REIGN + 1) * REIGN + std::int64_t(hash64(me_.disk) % REIGN);
+    w.gen++;
+    w.setVoters(vs);
+    w.d["reign"].SetInt64(w.reign);
+    w.d["generation"].SetInt64(w.gen);
+    ct_.add("rebuilt_total");
+    logf("core: a majority of disks is lost; rebuilt from the roster at generation {}", w.gen);
+    vt_->found(w, term + 1, now);
+}
+
+auto Node::leave(Us now) -> void {
+    me_.stopping = true;
+    if (vt_) vt_->handOver(now);
+    sendBeat(now, true);
+}
+
+auto Node::diskDone(std::int64_t seq, bool ok, Us now) -> void {
+    now_ = now;
+    if (vt_) vt_->diskDone(seq, ok, now);
+    touchMe(now);
+    jobs(now);
+}
+
+auto Node::voterTell(const Str& disk, wire::Envelope& e) -> void {
+    e.node = me_.node;
+    for (auto& [n, k] : rows_)
+        if (k.r.disk == disk) return po_.tell(k.r.peer, e);
+}
+auto Node::voterDisk(const DiskWrite& w) -> void { po_.disk(w); }
+
+auto Node::grant(const Str& n, std::int64_t c, Us) -> void {
+    auto r = row(n);
+    if (!r) return;
+    auto e = env();
+    auto g = wire::Grant();
+    g.node = me_.node;
+    g.boot = r->boot;
+    g.seq = ++grantSeq_ + me_.boot;
+    g.credit = c;
+    e.__set_grant(g);
+    po_.tell(r->peer, e);
+}
+auto Node::setCredit(std::int64_t c, std::int64_t want) -> void {
+    me_.credit = c;
+    me_.want = want;
+}
+
+// ---- what is shown
+
+static auto stateName(int s) -> const char* { return s == UP ? "up" : s == LEAVING ? "leaving" : "gone"; }
+
+auto Node::beliefs(Us now) const -> Str {
+    auto ns = Str(), ss = Str();
+    auto put = [&](const wire::Row& r, Us age, Us t0) {
+        ns += (ns.empty() ? "" : ",") + bodyOf({{"node", jsQuote(r.node)}, {"boot", fmt::to_string(r.boot)}, {"district", jsQuote(r.district)}, {"region", jsQuote(r.region)},
+            {"peer", jsQuote(r.peer)}, {"sender", jsQuote(r.sender)}, {"operator", jsQuote(r.opr)}, {"alive", age < ALIVE ? "true" : "false"}, {"ageUs", fmt::to_string(age)},
+            {"provenUs", t0 ? fmt::to_string(now - t0) : "null"}, {"reign", fmt::to_string(r.reign)}, {"generation", fmt::to_string(r.gen)}, {"settled", r.settled ? "true" : "false"},
+            {"ready", r.ready ? "true" : "false"}, {"disk", jsQuote(r.disk)}, {"blank", r.blank ? "true" : "false"}, {"leader", r.leader ? "true" : "false"}, {"credit", fmt::to_string(r.credit)}});
+    };
+    put(me_, 0, now);
+    for (auto& [n, k] : rows_) put(k.r, now - k.at, k.t0);
+    for (auto& [n, s] : servers_) {
+        auto l = s.seen && now - s.seen < SEEN
+                     ? bodyOf({{"prefill", fmt::to_string(s.d.prefill)}, {"decode", fmt::to_string(s.d.decode)}, {"slots", fmt::to_string(s.d.slots)}, {"dark", s.d.dark ? "true" : "false"}, {"watcher", jsQuote(s.d.watcher)}, {"ageUs", fmt::to_string(now - s.seen)}})
+                     : Str("null");
+        ss += (ss.empty() ? "" : ",") + bodyOf({{"server", jsQuote(n)}, {"address", jsQuote(s.l.address)}, {"region", jsQuote(s.l.region)}, {"district", jsQuote(s.l.district)}, {"pool", jsQuote(s.l.pool)},
+            {"weights", jsQuote(s.l.weights)}, {"state", jsQuote(stateName(s.l.state))}, {"generation", fmt::to_string(s.l.gen)}, {"toldUs", fmt::to_string(now - s.told)}, {"occupancy", l}});
+    }
+    auto t = tree(now);
+    auto tr = Str();
+    for (auto& [k, u] : t.up) tr += fmt::format("{}{}:{}", tr.empty() ? "" : ",", jsQuote(k), jsQuote(u));
+    return bodyOf({{"node", jsQuote(me_.node)}, {"reign", fmt::to_string(word_.reign)}, {"generation", fmt::to_string(word_.gen)}, {"configGeneration", fmt::to_string(word_.configGen())},
+        {"wordHash", jsQuote(fmt::format("{:016x}", hash64(word_.text())))}, {"fresh", fresh(now) ? "true" : "false"}, {"leader", jsQuote(leaderNode(now))},
+        {"empties", js(word_.d["empties"])}, {"nodes", "[" + ns + "]"}, {"servers", "[" + ss + "]"}, {"relays", "{" + tr + "}"}});
+}
+
+auto Node::status(Us now) -> Str {
+    return bodyOf({{"node", jsQuote(me_.node)}, {"version", jsQuote(VERSION)}, {"district", jsQuote(me_.district)}, {"region", jsQuote(me_.region)}, {"ready", ready(now) ? "true" : "false"},
+        {"fresh", fresh(now) ? "true" : "false"}, {"settled", me_.settled ? "true" : "false"}, {"leader", jsQuote(leaderNode(now))}, {"reign", fmt::to_string(word_.reign)}, {"generation", fmt::to_string(word_.gen)},
+        {"configGeneration", fmt::to_string(word_.configGen())}, {"nodesAlive", fmt::to_string(aliveNodes(now).size())}, {"roster", fmt::to_string(roster_.size())}, {"servers", fmt::to_string(servers_.size())},
+        {"role", jsQuote(!vt_ ? "edge" : vt_->leads() ? "core, leader" : vt_->blank() ? "core, blank" : "core, follower")}});
+}
+
+auto Node::planText(Us) const -> Str { return bodyOf({{"generation", fmt::to_string(word_.gen)}, {"plan", js(word_.d["plan"])}, {"empties", js(word_.d["empties"])}}); }
+
+auto Node::where(const Str& region, const Str& district, Us now) const -> Str {
+    auto rg = region.empty() ? me_.region : region;
+    auto v = std::vector<std::pair<int, const wire::Row*>>();
+    auto see = [&](const wire::Row& r) {
+        if (!r.ready || r.stopping || word_.emptied(r.district)) return;
+        v.push_back({r.district == district ? 0 : r.region == rg ? 1 : 2, &r});
+    };
+    see(me_);
+    for (auto& [n, k] : rows_)
+        if (now - k.at < ALIVE) see(k.r);
+    auto key = rg + "/" + district + fmt::to_string(now / SEC);  // callers are spread
+    std::sort(v.begin(), v.end(), [&](auto& a, auto& b) { return a.first != b.first ? a.first < b.first : rank(key, a.second->node) > rank(key, b.second->node); });
+    auto o = Str();
+    for (auto& [d, r] : v) o += (o.empty() ? "" : ",") + bodyOf({{"node", jsQuote(r->node)}, {"address", jsQuote(r->sender)}, {"region", jsQuote(r->region)}, {"district", jsQuote(r->district)}});
+    return "{\"nodes\":[" + o + "]}";
+}
+
+}  // namespace dt
--- /dev/null
+++ b/src/node.hpp
@@ -0,0 +1,176 @@
+#pragma once
+// What every process knows: itself, the other nodes, the operator's word, the servers.
+// All of it but the word is soft: told again under leases, and never logged.
+#include <set>
+
+#include "core.hpp"
+
+namespace dt {
+
+constexpr Us BEAT = 200 * MS;        // how often a node speaks of itself
+constexpr Us LEASE = 2 * SEC;        // how old the proof may be that the newest word is held
+constexpr Us ALIVE = 1500 * MS;      // silence after which a node is thought gone
+constexpr Us FORGET = 30 * SEC;      // silence after which a node's row is dropped
+constexpr Us LISTED = 15 * SEC;      // a listing not told again for this long lapses
+constexpr Us MARKED = 60 * SEC;      // a leaving mark not told again for this long lapses
+constexpr std::int64_t REIGN = 1024;  // a reign's number is its count times this, plus who began it
+constexpr Us SEEN = 3 * SEC;         // a load report older than this is not believed
+
+enum State { UP = 0, LEAVING = 1, GONE = 2 };
+
+struct NodePort {
+    virtual ~NodePort() = default;
+    virtual auto tell(const Str& addr, const wire::Envelope& e) -> void = 0;
+    virtual auto disk(const DiskWrite& w) -> void = 0;
+    /// The outcome of an operator's or the platform's request of this node.
+    virtual auto done(std::int64_t id, const Outcome& o) -> void = 0;
+    /// Asks a watched server for its load.
+    virtual auto probe(const Str& server, const Str& addr) -> void = 0;
+};
+
+struct Known {
+    wire::Row r;
+    Us at = 0;  // when its newest beat came
+    Us t0 = 0;  // when that beat of ours was sent which it had heard by then
+};
+
+struct Server {
+    wire::Listing l;
+    Us told = 0;  // when the platform last told of it, as far as known here
+    Us first = 0; // when this life of it was first heard of
+    wire::Load d;
+    Us seen = 0;  // when the load was read; 0 if never
+    int misses = 0;
+};
+
+struct Node : VoterPort {
+    Node(const Settings& s, NodePort& p, Counters& c, std::int64_t boot, std::uint64_t seed);
+    ~Node() override;
+
+    /// Makes this a core: what its disk holds, and the identity to take if that is nothing.
+    auto startCore(const DiskState& s, const Str& fresh, Us now) -> void;
+    auto tick(Us now, Us wall) -> void;
+    auto hear(const wire::Envelope& e, Us now) -> void;
+    auto diskDone(std::int64_t seq, bool ok, Us now) -> void;
+    auto loadSeen(const Str& server, bool ok, const wire::Load& d, Us now) -> void;
+
+    /// May this node act on the word and the marks it holds? Asked at the moment of acting.
+    auto fresh(Us now) const -> bool;
+    auto ready(Us now) const -> bool;
+    /// Begins a planned stop: the duty is handed over and others send no more here.
+    auto leave(Us now) -> void;
+
+    /// An operator's order or readback; answered through NodePort::done.
+    auto order(std::int64_t id, const Str& op, const Str& key, const Str& body, Us now) -> void;
+    auto read(std::int64_t id, Us now) -> void;
+    /// The platform's whole listing, and one server marked as leaving.
+    auto list(std::int64_t id, const Str& body, Us now) -> void;
+    auto mark(std::int64_t id, const Str& server, Us now) -> void;
+
+    auto word() const -> const Word& { return word_; }
+    auto rows() const -> const std::map<Str, Known>& { return rows_; }
+    auto servers() const -> const std::map<Str, Server>& { return servers_; }
+    auto me() const -> const wire::Row& { return me_; }
+    auto settings() const -> const Settings& { return st_; }
+    auto voter() -> Voter* { return vt_.get(); }
+    auto alive(const Str& node, Us now) const -> bool;
+    auto aliveNodes(Us now) const -> std::vector<Str>;
+    auto leaderNode(Us now) const -> Str;
+    auto grant(const Str& node, std::int64_t credit, Us now) -> void;
+    auto setCredit(std::int64_t c, std::int64_t want) -> void;
+    /// A grant that another node gave to this one, taken once.
+    std::function<void(std::int64_t)> onGrant;
+    std::function<void()> onWord;
+
+    /// What this node believes, as JSON.
+    auto beliefs(Us now) const -> Str;
+    /// Where callers near this place should go, nearest first, as JSON.
+    auto where(const Str& region, const Str& district, Us now) const -> Str;
+    auto status(Us now) -> Str;
+    auto planText(Us now) const -> Str;
+
+    struct Broken {
+        bool noLease = false, ackEarly = false, oldWord = false, noMarks = false;
+    };
+    Broken broken;
+
+    auto voterTell(const Str& disk, wire::Envelope& e) -> void override;
+    auto voterDisk(const DiskWrite& w) -> void override;
+    auto voterWord(const Word& w, const Str& key, const Outcome& o) -> void override;
+    auto voterRead(std::int64_t id, bool ok) -> void override;
+
+  private:
+    struct Tree {
+        std::map<Str, Str> up;  // node -> the one it hears the news from
+        auto kids(const Str& n) const -> std::vector<Str>;
+    };
+    /// That a majority of voters and of the roster hold something at one same moment: each
+    /// was seen holding it by `a`, and again, in the same life, after `a`.
+    struct Proof {
+        Us a = 0;
+        std::map<Str, std::int64_t> boots;
+    };
+    struct Order {  // at the node the operator spoke to
+        std::int64_t id;
+        Str body;
+        bool read;
+        Us due, next;
+        bool sent;
+    };
+    struct Job {  // at the leader
+        std::int64_t id;
+        Str back, key;
+        bool read;
+        std::int64_t gen = 0;  // 0: not applied yet
+        Outcome o;
+        Us due;
+        Proof p;
+    };
+    struct Wait {  // a mark on its way to a majority
+        std::int64_t id;
+        std::vector<wire::Mark> ms;
+        Us due;
+        Proof p;
+    };
+
+    auto env() const -> wire::Envelope;
+    auto beatText(Us now) -> wire::Envelope;
+    auto sendBeat(Us now, bool all) -> void;
+    auto tree(Us now) const -> Tree;
+    auto merge(const wire::Beat& b, Us now) -> void;
+    auto takeWord(const wire::Word& w, Us now) -> void;
+    auto wordTo(const Str& addr) -> void;
+    auto counted(Us now, bool settledVoters, bool wordOnly) const -> bool;
+    auto proven(Proof& p, const std::function<bool(const wire::Row&)>& f, Us now) const -> bool;
+    auto holds(const wire::Row& r, std::int64_t gen) const -> bool;
+    auto serve(const Str& back, std::int64_t id, const Str& body, bool read, Us now) -> void;
+    auto replyTo(const Str& back, std::int64_t id, const Outcome& o) -> void;
+    auto jobs(Us now) -> void;
+    auto beginReign(Us now) -> void;
+    auto fire(Us now, Us wall) -> void;
+    auto row(const Str& n) const -> const wire::Row*;
+    auto touchMe(Us now) -> void;
+
+    Settings st_;
+    NodePort& po_;
+    Counters& ct_;
+    Rng rng_;
+    wire::Row me_;
+    std::map<Str, Known> rows_;
+    std::map<Str, Server> servers_;
+    std::map<std::int64_t, Us> sentAt_;
+    Word word_;
+    std::set<Str> voterDisks_;
+    std::set<Str> roster_;
+    std::unique_ptr<Voter> vt_;
+    std::vector<Order> orders_;
+    std::vector<Job> jobs_;
+    std::vector<Wait> waits_;
+    std::map<Str, std::int64_t> grants_;
+    std::int64_t grantSeq_ = 0, jobId_ = 0;
+    Us nextBeat_ = 0, nextProbe_ = 0, pullAt_ = 0, blankSince_ = 0, now_ = 0, started_ = 0, wall_ = 0, firedAt_ = 0, listTold_ = 0;
+    std::size_t seed_ = 0;
+    bool wasFresh_ = false;
+};
+
+}  // namespace dt
--- /dev/null
+++ b/src/store.cpp
@@ -0,0 +1,325 @@
+#include "store.hpp"
+
+#include <lmdb.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cstring>
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace dt {
+
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+template <class T>
+static auto pack(const T& t) -> Str {
+    auto b = std::make_shared<TMemoryBuffer>();
+    auto p = TCompactProtocol(b);
+    t.write(&p);
+    return b->getBufferAsString();
+}
+template <class T>
+static auto unpack(View s, T& t) -> bool {
+    try {
+        auto b = std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t*>(const_cast<char*>(s.data())), std::uint32_t(s.size()));
+        auto p = TCompactProtocol(b);
+        t.read(&p);
+        return true;
+    } catch (const std::exception&) {
+        return false;
+    }
+}
+
+static auto entryKey(std::int64_t i) -> Str {
+    auto k = Str("e");
+    for (auto s = 56; s >= 0; s -= 8) k += char(std::uint64_t(i) >> s);
+    return k;
+}
+static auto seal(const Str& key, const Str& v) -> Str {
+    auto h = hash64(v, hash64(key));
+    return Str(reinterpret_cast<const char*>(&h), sizeof h) + v;
+}
+static auto unseal(View key, View v, Str& out) -> bool {
+    auto h = std::uint64_t(0);
+    if (v.size() < sizeof h) return false;
+    std::memcpy(&h, v.data(), sizeof h);
+    out = Str(v.substr(sizeof h));
+    return h == hash64(out, hash64(key));
+}
+
+Store::~Store() { close(); }
+auto Store::close() -> void {
+    if (env_) mdb_env_close(env_);
+    env_ = nullptr;
+}
+
+auto Store::open(const Str& dir) -> tl::expected<DiskState, StoreError> {
+    ::mkdir(dir.c_str(), 0755);
+    auto r = tryOpen(dir);
+    if (r || r.error().newer) return r;
+    close();
+    auto bad = fmt::format("{}/data.mdb.bad-{}", dir, wallNow());
+    if (::rename((dir + "/data.mdb").c_str(), bad.c_str()) != 0) return r;
+    ::unlink((dir + "/lock.mdb").c_str());
+    logf("disk: the store is damaged ({}) and was set aside as {}", r.error().why, bad);
+    setAside = true;
+    return tryOpen(dir);
+}
+
+auto Store::tryOpen(const Str& dir) -> tl::expected<DiskState, StoreError> {
+    auto no = [](Str what, int rc) { return tl::make_unexpected(StoreError{fmt::format("{}: {}", what, mdb_strerror(rc))}); };
+    auto rc = mdb_env_create(&env_);
+    if (rc) return no("create", rc);
+    mdb_env_set_mapsize(env_, 256u << 20);
+    // One thread opens, reads and later another writes, never two at once.
+    if (rc = mdb_env_open(env_, dir.c_str(), MDB_NOTLS, 0644); rc) return no("open", rc);
+    MDB_txn* t = nullptr;
+    if (rc = mdb_txn_begin(env_, nullptr, 0, &t); rc) return no("begin", rc);
+    if (rc = mdb_dbi_open(t, nullptr, 0, &dbi_); rc) {
+        mdb_txn_abort(t);
+        return no("dbi", rc);
+    }
+    MDB_cursor* c = nullptr;
+    auto s = DiskState();
+    auto bad = Str();
+    auto seen = false, newer = false;
+    if (rc = mdb_cursor_open(t, dbi_, &c); !rc) {
+        MDB_val k{}, v{};
+        while (bad.empty() && (rc = mdb_cursor_get(c, &k, &v, MDB_NEXT)) == 0) {
+            auto key = View(static_cast<char*>(k.mv_data), k.mv_size);
+            auto val = Str();
+            if (!unseal(key, View(static_cast<char*>(v.mv_data), v.mv_size), val)) {
+                bad = "a checksum does not match";
+            } else if (key == "meta") {
+                auto m = wire::Meta();
+                if (!unpack(val, m)) bad = "the record of the voter cannot be read";
+                else if (m.format > FORMAT) bad = fmt::format("written in format {}, this program knows {}", m.format, FORMAT), newer = true;
+                s.disk = m.disk;
+                s.reign = m.reign;
+                s.term = m.term;
+                s.vote = m.vote;
+                s.commit = m.commit;
+                s.snapIdx = m.snapIdx;
+                s.snapTerm = m.snapTerm;
+                seen = true;
+            } else if (key == "snap") {
+                s.snapDoc = val;
+            } else if (!key.empty() && key[0] == 'e') {
+                auto e = wire::Entry();
+                if (!unpack(val, e)) bad = "an entry cannot be read";
+                s.log.push_back(e);
+            }
+        }
+        if (rc && rc != MDB_NOTFOUND) bad = mdb_strerror(rc);
+        mdb_cursor_close(c);
+    }
+    mdb_txn_commit(t);
+    if (bad.empty() && !seen && !s.log.empty()) bad = "entries without the record of the voter";
+    std::erase_if(s.log, [&](auto& e) { return e.idx <= s.snapIdx; });
+    for (auto i = std::size_t(0); bad.empty() && i < s.log.size(); i++)
+        if (s.log[i].idx != s.snapIdx + 1 + std::int64_t(i)) bad = "an entry is missing";
+    if (bad.empty() && s.snapIdx > 0 && s.snapDoc.empty()) bad = "the snapshot is missing";
+    if (!bad.empty()) return tl::make_unexpected(StoreError{bad, newer});
+    snapIdx_ = s.snapIdx;
+    return s;
+}
+
+auto Store::write(const DiskWrite& w) -> tl::expected<void, StoreError> {
+    MDB_txn* t = nullptr;
+    auto rc = mdb_txn_begin(env_, nullptr, 0, &t);
+    auto put = [&](const Str& k, const Str& raw) {
+        auto x = seal(k, raw);
+        auto mk = MDB_val{k.size(), const_cast<char*>(k.data())};
+        auto mv = MDB_val{x.size(), x.data()};
+        if (!rc) rc = mdb_put(t, dbi_, &mk, &mv, 0);
+    };
+    auto dropTo = [&](std::int64_t from, std::int64_t to) {  // entries from..to
+        MDB_cursor* c = nullptr;
+        if (!rc) rc = mdb_cursor_open(t, dbi_, &c);
+        if (rc) return;
+        auto k = entryKey(from);
+        auto mk = MDB_val{k.size(), k.data()};
+        auto mv = MDB_val{};
+        auto r = mdb_cursor_get(c, &mk, &mv, MDB_SET_RANGE);
+        while (!r) {
+            auto key = Str(static_cast<char*>(mk.mv_data), mk.mv_size);
+            if (key[0] != 'e' || key > entryKey(to)) break;
+            if (rc = mdb_cursor_del(c, 0); rc) break;
+            r = mdb_cursor_get(c, &mk, &mv, MDB_NEXT);
+        }
+        mdb_cursor_close(c);
+    };
+    constexpr auto LAST = INT64_MAX;
+    if (!rc) {
+        if (w.reset) {
+            rc = mdb_drop(t, dbi_, 0);
+            snapIdx_ = 0;
+        }
+        if (w.cut >= 0) dropTo(w.cut, LAST);
+        for (auto& e : w.add) put(entryKey(e.idx), pack(e));
+        if (w.snap) {
+            put("snap", w.doc);
+            dropTo(0, w.meta.snapIdx);
+        }
+        auto m = wire::Meta();
+        m.disk = w.meta.disk;
+        m.reign = w.meta.reign;
+        m.term = w.meta.term;
+        m.vote = w.meta.vote;
+        m.commit = w.meta.commit;
+        m.snapIdx = w.meta.snapIdx;
+        m.snapTerm = w.meta.snapTerm;
+        m.format = FORMAT;
+        put("meta", pack(m));
+        if (!rc) rc = mdb_txn_commit(t);
+        else mdb_txn_abort(t);
+    }
+    if (rc) return tl::make_unexpected(StoreError{mdb_strerror(rc)});
+    return {};
+}
+
+}  // namespace dt
+
+#ifdef DT_TEST
+#include <dirent.h>
+#include <stdlib.h>
+
+#include <fstream>
+
+#include "test.hpp"
+namespace dt {
+
+struct Folder {
+    Str p;
+    Folder() {
+        char t[] = "/tmp/duneturn-test-XXXXXX";
+        p = mkdtemp(t);
+    }
+    ~Folder() {
+        if (auto d = opendir(p.c_str())) {
+            while (auto e = readdir(d)) ::unlink((p + "/" + e->d_name).c_str());
+            closedir(d);
+        }
+        ::rmdir(p.c_str());
+    }
+};
+static auto same(const DiskState& a, const DiskState& b) -> bool {
+    return a.disk == b.disk && a.reign == b.reign && a.term == b.term && a.vote == b.vote && a.commit == b.commit && a.snapIdx == b.snapIdx && a.snapTerm == b.snapTerm && a.snapDoc == b.snapDoc && a.log == b.log;
+}
+
+// Random writes to LMDB and to a plain state side by side; reopened now and then, they agree.
+TEST(Store, fuzzAgainstState) {
+    for (auto seed = 1u; seed <= 10; seed++) {
+        auto f = Folder();
+        auto r = Rng{seed};
+        auto s = std::make_unique<Store>();
+        auto m = DiskState();
+        CHECK(bool(s->open(f.p)));
+        for (auto i = 0; i < 60; i++) {
+            auto w = DiskWrite();
+            auto last = m.snapIdx + std::int64_t(m.log.size());
+            w.meta = m;
+            w.meta.log.clear();
+            w.meta.disk = "d";
+            w.meta.term = m.term + std::int64_t(r.below(2));
+            w.meta.vote = fmt::format("v{}", r.below(3));
+            if (last > m.snapIdx && r.chance(.2)) w.cut = m.snapIdx + 1 + std::int64_t(r.below(std::uint64_t(last - m.snapIdx)));
+            auto at = w.cut >= 0 ? w.cut : last + 1;
+            for (auto n = r.below(4); n > 0; n--) {
+                auto e = wire::Entry();
+                e.idx = at++;
+                e.term = w.meta.term;
+                e.kind = 1;
+                e.body = Str(r.below(3000), char('a' + r.below(20)));
+                w.add.push_back(e);
+            }
+            if (at - 1 > m.snapIdx && r.chance(.15)) {
+                w.snap = true;
+                w.meta.snapIdx = m.snapIdx + 1 + std::int64_t(r.below(std::uint64_t(at - 1 - m.snapIdx)));
+                w.meta.snapTerm = w.meta.term;
+                w.doc = fmt::format("doc {}", i);
+            }
+            CHECK(bool(s->write(w)));
+            diskApply(m, w);
+            if (r.chance(.2)) {
+                s = std::make_unique<Store>();
+                auto x = s->open(f.p);
+                CHECK(bool(x));
+                CHECK(!s->setAside);
+                CHECK(same(*x, m));
+            }
+        }
+    }
+}
+
+TEST(Store, damageIsSetAside) {
+    auto found = 0;
+    for (auto seed = 1u; seed <= 20; seed++) {
+        auto f = Folder();
+        auto r = Rng{seed};
+        auto m = DiskState();
+        {
+            auto s = Store();
+            CHECK(bool(s.open(f.p)));
+            auto w = DiskWrite();
+            w.meta.disk = "d";
+            w.meta.term = 3;
+            for (auto i = 1; i <= 20; i++) {
+                auto e = wire::Entry();
+                e.idx = i;
+                e.term = 3;
+                e.body = Str(700, 'x');
+                w.add.push_back(e);
+            }
+            CHECK(bool(s.write(w)));
+            diskApply(m, w);
+        }
+        // A few bytes of the records are turned.
+        auto t = *fileRead(f.p + "/data.mdb");
+        for (auto k = 0; k < 4; k++) {
+            auto at = t.find(Str(300, 'x'), r.below(t.size()));
+            if (at != Str::npos) t[at + r.below(300)] ^= 1;
+        }
+        std::ofstream(f.p + "/data.mdb", std::ios::binary) << t;
+        auto s = Store();
+        auto x = s.open(f.p);
+        CHECK(bool(x));
+        // Either the page was an old copy, and all is there, or it is as if wiped; never a part.
+        CHECK(s.setAside ? x->disk.empty() && x->log.empty() : same(*x, m));
+        found += s.setAside;
+    }
+    CHECK(found > 5);
+}
+
+auto Store::rawForTest(const Str& k, const Str& v) -> void {
+    MDB_txn* t = nullptr;
+    mdb_txn_begin(env_, nullptr, 0, &t);
+    auto x = seal(k, v);
+    auto mk = MDB_val{k.size(), const_cast<char*>(k.data())};
+    auto mv = MDB_val{x.size(), x.data()};
+    mdb_put(t, dbi_, &mk, &mv, 0);
+    mdb_txn_commit(t);
+}
+
+TEST(Store, newerFormatIsRefused) {
+    auto f = Folder();
+    {
+        auto s = Store();
+        CHECK(bool(s.open(f.p)));
+        auto m = wire::Meta();
+        m.disk = "d";
+        m.format = FORMAT + 1;
+        s.rawForTest("meta", pack(m));
+    }
+    auto s = Store();
+    auto x = s.open(f.p);
+    CHECK(!x);
+    CHECK(x.error().newer);
+    CHECK(!s.setAside);
+}
+
+}  // namespace dt
+#endif
--- /dev/null
+++ b/thrift/wire.thrift
@@ -0,0 +1,76 @@
+// What duneturn's own processes say to each other, and what a voter keeps on disk.
+// Rule for mixed versions: fields are only ever added, never renumbered; WIRE in
+// shared.hpp is raised when an older process could misread a newer one, and a
+// process drops envelopes whose `wire` differs from its own by more than one.
+namespace cpp dt.wire
+
+// The sign that `node` has heard the beat `beat` of another node's life `boot`.
+struct Echo { 1: string node, 2: i64 boot, 3: i64 beat }
+
+// A server listed as leaving, with the generation of that listing.
+struct Mark { 1: string server, 2: i64 gen }
+
+// One node's word about itself; carried onward unchanged by whoever hears it.
+struct Row {
+  1: string node, 2: i64 boot, 3: i64 beat,
+  4: string district, 5: string region,
+  6: string peer, 7: string sender, 8: string opr,
+  9: i64 reign, 10: i64 gen, 11: bool settled,
+  12: list<Echo> echo, 13: list<Mark> marks,
+  14: i64 credit, 15: i64 wall,
+  16: string disk, 17: bool blank, 18: i64 term, 19: bool leader, 20: bool ready,
+  21: bool stopping, 22: i64 want
+}
+
+// A server as the platform listed it. Told again under a lease; never logged.
+struct Listing {
+  1: string server, 2: string address, 3: string region, 4: string district,
+  5: string pool, 6: string weights, 7: i32 slots, 8: i32 state, 9: i64 inc,
+  10: i64 gen, 11: i64 age
+}
+
+// What a watcher saw of a server.
+struct Load {
+  1: string server, 2: i64 boot, 3: i32 prefill, 4: i32 decode, 5: i32 slots,
+  6: bool dark, 7: i64 up, 8: string watcher, 9: i64 age, 10: bool cold
+}
+
+struct Beat { 1: list<Row> rows, 2: list<Listing> listings, 3: list<Load> loads }
+
+// The operator's word: everything an operator ordered, as one document.
+struct Word { 1: i64 reign, 2: i64 gen, 3: string doc }
+struct WordAsk { 1: i64 reign, 2: i64 gen }
+
+struct OrderAsk { 1: i64 id, 2: string back, 3: string body, 4: bool readback }
+struct OrderReply { 1: i64 id, 2: i32 status, 3: string body }
+
+struct Grant { 1: string node, 2: i64 boot, 3: i64 seq, 4: i64 credit }
+
+struct Entry { 1: i64 term, 2: i64 idx, 3: i32 kind, 4: string body }
+struct VoteAsk { 1: i64 term, 2: i64 lastIdx, 3: i64 lastTerm, 4: bool pre, 5: bool handed }
+struct VoteReply { 1: i64 term, 2: bool pre, 3: bool granted }
+struct AppendAsk {
+  1: i64 term, 2: i64 prevIdx, 3: i64 prevTerm, 4: list<Entry> entries,
+  5: i64 commit, 6: i64 round
+}
+struct AppendReply { 1: i64 term, 2: bool ok, 3: i64 match, 4: i64 hint, 5: i64 round }
+struct SnapTell { 1: i64 term, 2: i64 idx, 3: i64 idxTerm, 4: string doc, 5: i64 round }
+struct TakeOver { 1: i64 term }
+
+struct Envelope {
+  1: i32 wire, 2: string node, 3: string disk, 4: i64 reign,
+  5: optional Beat beat, 6: optional Word word, 7: optional WordAsk wordAsk,
+  8: optional OrderAsk orderAsk, 9: optional OrderReply orderReply,
+  10: optional Grant grant,
+  11: optional VoteAsk voteAsk, 12: optional VoteReply voteReply,
+  13: optional AppendAsk appendAsk, 14: optional AppendReply appendReply,
+  15: optional SnapTell snapTell, 16: optional TakeOver takeOver
+}
+
+service Peer { oneway void tell(1: Envelope e) }
+
+// A voter's disk: the record beside the snapshot and the entries.
+struct Meta {
+  1: string disk, 2: i64 reign, 3: i64 term, 4: string vote, 5: i64 commit,
+  6: i64 snapIdx, 7: i64 snapTerm, 8: i32 format
+}
