--- a/src/core.cpp
+++ b/src/core.cpp
@@ -57,7 +57,9 @@
 constexpr Us STALL = 1 * SEC;       // a write outstanding this long makes a disk bad
 constexpr std::int64_t KEEP = 256;  // entries before a snapshot is taken
 
+namespace {
 enum Kind { NOOP = 0, ORDER = 1, VOTERS = 2 };
+}
 
 auto diskApply(DiskState& s, const DiskWrite& w) -> void {
     if (w.reset) s = DiskState();
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -31,6 +31,8 @@
 
 static auto clip(const Str& s) -> Str { return s.substr(0, 200); }
 
+namespace {
+
 // One thread a peer: what is said to it goes out in order or not at all.
 struct Out {
     Out(Str a, Counters& c, std::mutex& m) : addr(std::move(a)), ct(c), ctm(m), th([this] { run(); }) {}
@@ -818,6 +820,8 @@
     return perr ? 1 : 0;
 }
 
+}  // namespace
+
 auto daemonRun(const DaemonOptions& o) -> int { return Daemon(o).run(); }
 
 }  // namespace dt
--- a/src/fake_platform.cpp
+++ b/src/fake_platform.cpp
@@ -7,6 +7,8 @@
 using asio::awaitable;
 constexpr auto quiet = asio::as_tuple(asio::use_awaitable);
 
+namespace {
+
 // Tells the fleet of the servers every second, through a node that replies. Told by
 // HTTP itself: POST /leave/NAME, /stay/NAME, /remove/NAME, /return/NAME (a new life).
 struct FakePlatform {
@@ -80,6 +82,8 @@
     }
 };
 
+}  // namespace
+
 auto fakePlatformRun(const FakePlatformOptions& o) -> int {
     signal(SIGPIPE, SIG_IGN);
     auto p = std::make_unique<FakePlatform>();
--- a/src/fake_sender.cpp
+++ b/src/fake_sender.cpp
@@ -12,6 +12,8 @@
 
 // Plays the senders of a day: asks where to go, sends there, and judges what comes back
 // by what a server of the named weights must have said. It trusts nothing that duneturn says.
+namespace {
+
 struct Tally {
     std::int64_t sent = 0, whole = 0, denied = 0, failed = 0, cut = 0, broken = 0, again = 0;
     std::vector<Us> took, first;
@@ -245,6 +247,8 @@
     return bodyOf({{"kinds", "{" + o + "}"}, {"rulesBroken", "[" + r + "]"}});
 }
 
+}  // namespace
+
 auto fakeSenderRun(const FakeSenderOptions& o) -> int {
     signal(SIGPIPE, SIG_IGN);
     auto f = std::make_unique<FakeSender>();
--- a/src/fake_server.cpp
+++ b/src/fake_server.cpp
@@ -17,6 +17,8 @@
 auto fakePiece(View body, View w, std::int64_t i) -> Str { return fmt::format("{:016x}", hash64(body, hash64(w) + std::uint64_t(i))); }
 auto fakeWhole(View body, View w) -> Str { return fakePiece(body, w, 0); }
 
+namespace {
+
 // One thread: a fake server is small.
 struct FakeServer {
     FakeServerOptions op;
@@ -204,6 +206,8 @@
     return 0;
 }
 
+}  // namespace
+
 auto fakeServerRun(const FakeServerOptions& o) -> int {
     auto s = std::make_unique<FakeServer>();
     s->op = o;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include "ctl.hpp"
 #include "daemon.hpp"
 #include "fakes.hpp"
+#include "simulate.hpp"
 
 DEFINE_string(settings, "", "settings file (JSON); flags are laid over it");
 DEFINE_string(node, "", "this node's name; ctl: a node's operator address");
@@ -40,9 +41,17 @@
 DEFINE_string(nodes, "", "fakes: node addresses, with commas");
 DEFINE_string(day, "", "fake-sender: the day's kinds");
 DEFINE_string(report, "", "fake-sender: file for the report");
-DEFINE_int64(duration_us, 30000000, "fake-sender: how long to send");
+DEFINE_int64(duration_us, 60000000, "fake-sender, simulate: how long the day is");
 DEFINE_double(scale, 1, "fake-sender: factor on all rates");
 DEFINE_uint64(seed, 1, "seed of all chance");
+DEFINE_int32(runs, 1, "simulate: how many seeds, from --seed on");
+DEFINE_string(example, "examples/radar", "simulate: the deployment's folder");
+DEFINE_string(faults, "", "simulate: kinds of faults with commas, or all");
+DEFINE_double(per_minute, 12, "simulate: faults a minute");
+DEFINE_string(broken, "", "simulate: a deliberate fault in the logic");
+DEFINE_string(place, "", "simulate: a simpler placement, random or least");
+DEFINE_int64(leave_limit_us, 5000000, "simulate: time after which nothing new reaches a leaving server");
+DEFINE_bool(trace, false, "simulate: print the trace as it goes");
 
 namespace dt {
 
@@ -61,10 +70,13 @@
   core           the same, and keeps the operator's word on this machine's disk
   ctl            the operators' command line (duneturn ctl --help)
   compare A B    where the beliefs of two nodes differ (operator addresses)
+  simulate       a day of the whole fleet over virtual time, from a seed
   fake-server, fake-sender, fake-platform   stand-ins for trying and testing
 
 edge, core:  --settings FILE, or --node --district --region --peer --sender --operator
              --seeds [--data --roster --seats]; --check, --drain_us N, --workers N
+simulate:    --example DIR --seed N --runs N --duration_us --scale --faults all|KIND,…
+             --per_minute --broken VARIANT --place random|least --trace --json
 fake-server: --listen --name --weights --slots --token_us --prefill_us --plain_us --cold --log
 fake-platform: --servers FILE --nodes OPERATOR,… --listen
 fake-sender: --day FILE --nodes SENDER,… --duration_us --scale --seed --report
@@ -152,6 +164,24 @@
     if (role == "fake-server") return fakeServerRun({FLAGS_listen, FLAGS_name, FLAGS_weights, "model", FLAGS_log, FLAGS_slots, FLAGS_token_us, FLAGS_prefill_us, FLAGS_plain_us, 20 * SEC, FLAGS_cold});
     if (role == "fake-platform") return fakePlatformRun({FLAGS_servers, FLAGS_listen, commas(FLAGS_nodes), SEC});
     if (role == "fake-sender") return fakeSenderRun({FLAGS_day, FLAGS_report, commas(FLAGS_nodes), FLAGS_duration_us, FLAGS_scale, FLAGS_seed});
+    if (role == "simulate") {
+        if (FLAGS_runs < 1 || (FLAGS_place != "" && FLAGS_place != "random" && FLAGS_place != "least")) {
+            fmt::print(stderr, "duneturn simulate: --runs wants 1 or more, --place random or least\n");
+            return 2;
+        }
+        auto o = SimOptions();
+        o.example = FLAGS_example;
+        o.seed = FLAGS_seed;
+        o.duration = FLAGS_duration_us;
+        o.scale = FLAGS_scale;
+        o.faults = FLAGS_faults == "all" ? simFaults() : commas(FLAGS_faults);
+        o.perMinute = FLAGS_per_minute;
+        o.broken = FLAGS_broken;
+        o.place = FLAGS_place;
+        o.leaveLimit = FLAGS_leave_limit_us;
+        o.quiet = !FLAGS_trace;
+        return simulateRun(o, FLAGS_runs, FLAGS_json);
+    }
     fmt::print(stderr, "duneturn: no such role: {}\n{}", role, usage());
     return 2;
 }
--- a/src/shared.cpp
+++ b/src/shared.cpp
@@ -70,7 +70,10 @@
     return o;
 }
 
+static auto mute = false;
+auto logMute(bool on) -> void { mute = on; }
 auto logLine(View s) -> void {
+    if (mute) return;
     static std::mutex mu;
     auto l = std::lock_guard(mu);
     fmt::print(stderr, "{} {}\n", wallText(wallNow()), s);
--- a/src/shared.hpp
+++ b/src/shared.hpp
@@ -58,6 +58,8 @@
 
 /// A line for a change of state, to standard error.
 auto logLine(View s) -> void;
+/// No lines; for runs over virtual time, which keep their own trace.
+auto logMute(bool on) -> void;
 template <class... A>
 auto logf(fmt::format_string<A...> f, A&&... a) -> void { logLine(fmt::format(f, std::forward<A>(a)...)); }
 
