Gaps in any counted stream fail visibly; cores keep an address book; cold after loss

Ruled out: a longer lease, and more seeds in the settings, since no settings can name what is not yet known. Now: ids that count fail at the first gap on any mapping; a core keeps its peers' addresses in data/peers as hints; after a lost send a server counts as cold until a newer load report.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -4,6 +4,8 @@
 #include <unistd.h>
 
 #include <condition_variable>
+#include <fstream>
+#include <sstream>
 #include <deque>
 #include <random>
 #include <thread>
@@ -143,6 +145,13 @@
         calls_.erase(i);
         f(o);
     }
+    auto book(const std::vector<Str>& v) -> void override {
+        auto s = Str();
+        for (auto& a : v) s += a + "\n";
+        auto l = std::lock_guard(dmu_);
+        book_ = s;
+        dcv_.notify_one();
+    }
     auto probe(const Str& server, const Str& addr) -> void override { asio::co_spawn(io, probeRun(server, addr), asio::detached); }
 
     // ---- EdgePort
@@ -218,6 +227,7 @@
     std::unique_ptr<Edge> edge;
     std::map<Str, std::unique_ptr<Out>> outs_;
     std::deque<DiskWrite> dq_;
+    Str book_;  // to be written; empty if nothing is
     std::condition_variable dcv_;
     std::map<std::int64_t, std::function<void(const Outcome&)>> calls_;
     std::int64_t callId_ = 0;
@@ -235,8 +245,17 @@
         auto w = DiskWrite();
         {
             auto l = std::unique_lock(dmu_);
-            dcv_.wait(l, [&] { return stopDisk_ || !dq_.empty(); });
+            dcv_.wait(l, [&] { return stopDisk_ || !dq_.empty() || !book_.empty(); });
             if (stopDisk_) return;
+            if (dq_.empty()) {
+                auto b = std::move(book_);
+                book_.clear();
+                l.unlock();
+                // Hints only: written aside and renamed, so that a half-written one is never read.
+                std::ofstream(op.st.data + "/peers.new") << b;
+                ::rename((op.st.data + "/peers.new").c_str(), (op.st.data + "/peers").c_str());
+                continue;
+            }
             w = std::move(dq_.front());
             dq_.pop_front();
         }
@@ -281,7 +300,7 @@
         q.set(http::field::host, addr);
         q.set("X-Exchange-Id", e->exid);
         q.erase("Last-Event-Id");
-        if (e->last > 0) q.set("Last-Event-Id", fmt::to_string(e->last));
+        if (e->last >= 0) q.set("Last-Event-Id", fmt::to_string(e->last));
         q.keep_alive(false);
         q.body() = e->body;
         q.prepare_payload();
@@ -365,7 +384,7 @@
 
 auto Daemon::probeRun(Str server, Str addr) -> awaitable<void> {
     auto s = beast::tcp_stream(co_await asio::this_coro::executor);
-    auto ok = false;
+    auto ok = false, refused = false;
     auto d = wire::Load();
     try {
         s.expires_after(std::chrono::milliseconds(900));
@@ -387,10 +406,11 @@
             d.up = jsInt(j, "upUs");
             d.cold = jsBool(j, "cold");
         }
-    } catch (const std::exception&) {
+    } catch (const boost::system::system_error& e) {
+        refused = e.code() == asio::error::connection_refused;
     }
     auto l = std::lock_guard(mu_);
-    node->loadSeen(server, ok, d, bootNow());
+    node->loadSeen(server, ok, refused, d, bootNow());
 }
 
 // ---- towards the senders
@@ -746,7 +766,14 @@
             return 1;
         }
         if (store.setAside) ct_.add("store_set_aside_total");
+        auto ps = std::vector<Str>();
+        if (auto t = fileRead(op.st.data + "/peers")) {
+            auto in = std::stringstream(*t);
+            for (auto a = Str(); std::getline(in, a);)
+                if (addrParse(a)) ps.push_back(a);
+        }
         auto l = std::lock_guard(mu_);
+        node->hints(ps);
         node->startCore(*r, fmt::format("{:016x}", hash64(op.st.node, seed)), bootNow());
     }
     auto sa = tcp::acceptor(io), oa = tcp::acceptor(io);
--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -184,7 +184,9 @@
     constexpr auto ALL = 1 << 20;
     if (broken.noRamp || ru_.rampOver <= 0) return ALL;
     auto up = now - s.first;
-    if (s.seen) {
+    // After a loss it may be another life that replies: cold, until its load says otherwise.
+    if (auto& f = fit_[name]; f.lostAt > s.seen && f.lostAt > s.first) up = std::min(up, now - f.lostAt);
+    else if (s.seen) {
         if (!s.d.cold && s.d.up >= ru_.rampOver) return ALL;
         up = s.d.up + (now - s.seen);
     }
@@ -238,7 +240,7 @@
             keep("home " + st.s, [&](auto& c) { return c.s->l.region == (st.s == "@near" ? x.region : st.s); });
             break;
         case Op::Weights:
-            if (!x.weights.empty() && x.last > 0) keep("weights " + x.weights, [&](auto& c) { return c.s->l.weights == x.weights; });
+            if (!x.weights.empty() && x.last >= 0) keep("weights " + x.weights, [&](auto& c) { return c.s->l.weights == x.weights; });
             break;
         case Op::Untried:
             if (!x.tried.empty()) soft("untried", [&](auto& c) { return std::find(x.tried.begin(), x.tried.end(), *c.n) == x.tried.end(); });
@@ -435,10 +437,11 @@
     x.tried.push_back(x.server);
     note(x, fmt::format("+{} us lost {}: {}{}", now - x.born, x.server, why, ran ? "" : " (nothing ran)"));
     auto on = ran && !broken.resendAny;
+    x.ranBefore = x.ranBefore || ran;
     auto no = Str();
     auto status = 502;
     if (on && !x.m.resumable) no = why + "; it may have run, and a stream that cannot be resumed never runs twice";
-    else if (on && x.last > 0 && !x.counting) no = why + "; its events cannot be counted, so they cannot be joined";
+    else if (on && x.headSent && !x.counting) no = why + "; its events cannot be counted, so they cannot be joined";
     else if (!x.m.model.empty() && x.moves <= 0) no = why + "; no migration is left";
     else if (x.tries >= x.m.maxTries) no = why + "; MaxTries is reached";
     else if (now >= x.due) no = why + "; its time is over", status = 504;
@@ -462,6 +465,7 @@
     auto x = get(id, a);
     if (!x) return;
     hurt(x->server, 0.4, now);
+    fit_[x->server].lostAt = now;
     x->tries += !x->wrote;  // a refused connection is a send too
     if (x->first) {
         x->first = false;
@@ -511,14 +515,14 @@
     if (!e.id.empty() && x->counting) {
         auto n = whole(e.id);
         if (n < 0) {
+            // Ids that are no numbers cannot be counted, nor joined.
+            if (x->last >= 0) return fail(*x, 502, fmt::format("the event after {} came as {}", x->last, e.id), now);
             x->counting = false;
             x->moves = 0;
-        } else if ((x->last > 0 || x->tries > 1) && n != x->last + 1 && !broken.joinAny) {
+        } else if (x->last >= 0 && n != x->last + 1 && !broken.joinAny) {
             hurt(x->server, 0.3, now);
             ct_.add("events_out_of_line_total");
-            if (x->m.resumable) return fail(*x, 502, fmt::format("the event after {} came as {}", x->last, n), now);
-            x->counting = false;
-            x->moves = 0;
+            return fail(*x, 502, fmt::format("the event after {} came as {}", x->last, n), now);
         } else x->last = n;
     } else if (e.id.empty() && !e.done() && x->m.resumable) {
         x->counting = false;
@@ -559,7 +563,7 @@
     if (!header(h, "X-Not-Executed").empty()) {
         ct_.add("server_denied_total");
         hurt(x->server, 0.8, now);
-        x->everRan = x->tries > 1 && x->last > 0;
+        x->everRan = x->ranBefore;
         return again(*x, false, fmt::format("denied by the server with {}", status), now);
     }
     if (x->headSent) return again(*x, true, fmt::format("the resumed stream was not one (status {})", status), now);
@@ -580,6 +584,7 @@
     auto x = get(id, a);
     if (!x) return;
     hurt(x->server, 0.4, now);
+    fit_[x->server].lostAt = now;
     ct_.add("sends_lost_total");
     again(*x, x->wrote, why, now);
 }
--- a/src/edge.hpp
+++ b/src/edge.hpp
@@ -64,6 +64,7 @@
 
 struct Fitness {
     int inflight = 0, atSeen = 0;
+    Us lostAt = 0;  // when a send to it was last refused or broke
     double fit = 1;
     Us at = 0, seen = 0;
     double first = 0;  // smoothed time to the first byte
@@ -83,9 +84,10 @@
     int tries = 0, moves = 0, a = 0, replans = 0;
     bool first = true;       // no send has been counted yet
     bool wrote = false;      // bytes of the present send may have reached a server
+    bool ranBefore = false;  // an earlier send may have run
     bool everRan = false;    // of any send, unless the server denied it
     bool headSent = false, counted = true, begun = false;
-    std::int64_t last = 0;   // id of the newest event delivered
+    std::int64_t last = -1;  // id of the newest event delivered; -1: none was
     bool counting = true;    // ids so far were whole numbers rising by one
     std::int64_t seq = 0;    // prompt and events so far, in tokens as estimated here
     std::vector<Str> events; // delivered, kept while the exchange may still move
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -13,6 +13,11 @@
     me_.sender = s.sender;
     me_.opr = s.opr;
     me_.blank = true;
+    hints_ = st_.seeds;
+}
+auto Node::hints(const std::vector<Str>& v) -> void {
+    for (auto& a : v)
+        if (std::find(hints_.begin(), hints_.end(), a) == hints_.end() && hints_.size() < 64) hints_.push_back(a);
 }
 Node::~Node() = default;
 
@@ -165,9 +170,9 @@
     auto e = beatText(now);
     for (auto& n : to)
         if (auto r = row(n); r && n != me_.node) po_.tell(r->peer, e);
-    if (all && !st_.seeds.empty()) {
+    if (all && !hints_.empty()) {
         // One seed a round joins what a cut has parted, whoever lives there now.
-        auto& s = st_.seeds[seed_++ % st_.seeds.size()];
+        auto& s = hints_[seed_++ % hints_.size()];
         if (s != me_.peer) po_.tell(s, e);
     }
     ct_.add("beats_sent_total");
@@ -605,12 +610,12 @@
     ct_.add("marks_taken_total");
 }
 
-auto Node::loadSeen(const Str& n, bool ok, const wire::Load& d, Us now) -> void {
+auto Node::loadSeen(const Str& n, bool ok, bool refused, const wire::Load& d, Us now) -> void {
     auto i = servers_.find(n);
     if (i == servers_.end()) return;
     auto& s = i->second;
     s.misses = ok ? 0 : s.misses + 1;
-    if (!ok && s.misses < 2) return;
+    if (!ok && !refused && s.misses < 2) return;
     auto dark = !ok;
     if (s.seen && s.d.dark != dark) logf("server {} is {}", n, dark ? "dark" : "back");
     if (ok && s.seen && s.d.boot != d.boot) s.first = now;
@@ -651,6 +656,12 @@
         me_.settled = true;
         logf("settled: generation {} of reign {}", word_.gen, word_.reign);
     }
+    if (vt_ && now - bookAt_ > 2 * SEC) {
+        bookAt_ = now;
+        auto v = std::vector<Str>();
+        for (auto& [n, k] : rows_) v.push_back(k.r.peer);
+        if (!v.empty() && v != booked_) po_.book(booked_ = v);
+    }
     me_.ready = ready(now);
     if (auto f = fresh(now); f != wasFresh_) {
         wasFresh_ = f;
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -24,6 +24,8 @@
     virtual auto disk(const DiskWrite& w) -> void = 0;
     /// The outcome of an operator's or the platform's request of this node.
     virtual auto done(std::int64_t id, const Outcome& o) -> void = 0;
+    /// Keeps the peers' addresses beside the store, as hints for a start after a total loss.
+    virtual auto book(const std::vector<Str>& addrs) -> void = 0;
     /// Asks a watched server for its load.
     virtual auto probe(const Str& server, const Str& addr) -> void = 0;
 };
@@ -49,10 +51,13 @@
 
     /// Makes this a core: what its disk holds, and the identity to take if that is nothing.
     auto startCore(const DiskState& s, const Str& fresh, Us now) -> void;
+    /// Addresses kept by an earlier life; tried beside the seeds.
+    auto hints(const std::vector<Str>& addrs) -> void;
     auto tick(Us now, Us wall) -> void;
     auto hear(const wire::Envelope& e, Us now) -> void;
     auto diskDone(std::int64_t seq, bool ok, Us now) -> void;
-    auto loadSeen(const Str& server, bool ok, const wire::Load& d, Us now) -> void;
+    /// What a probe brought; `refused`: the server said itself that nobody is there.
+    auto loadSeen(const Str& server, bool ok, bool refused, const wire::Load& d, Us now) -> void;
 
     /// May this node act on the word and the marks it holds? Asked at the moment of acting.
     auto fresh(Us now) const -> bool;
@@ -169,6 +174,8 @@
     std::map<Str, std::int64_t> grants_;
     std::int64_t grantSeq_ = 0, jobId_ = 0;
     Us nextBeat_ = 0, nextProbe_ = 0, pullAt_ = 0, blankSince_ = 0, now_ = 0, started_ = 0, wall_ = 0, firedAt_ = 0, listTold_ = 0;
+    std::vector<Str> hints_, booked_;
+    Us bookAt_ = 0;
     std::size_t seed_ = 0;
     bool wasFresh_ = false;
 };
--- a/src/simulate.cpp
+++ b/src/simulate.cpp
@@ -37,6 +37,7 @@
     bool core = false;
     SimDisk dk;
     Us wallOff = 0, bootOff = 0;
+    std::vector<Str> kept;  // the address book beside the store
     std::int64_t life = 0;
     bool up = false, frozen = false;
     std::deque<std::function<void()>> inbox;
@@ -55,6 +56,7 @@
     auto disk(const DiskWrite& x) -> void override;
     auto diskStep() -> void;
     auto done(std::int64_t id, const Outcome& o) -> void override;
+    auto book(const std::vector<Str>& v) -> void override { kept = v; }
     auto probe(const Str& server, const Str& addr) -> void override;
     auto send(std::int64_t x, int a, const Str& server, const Str& addr) -> void override;
     auto drop(std::int64_t x, int a) -> void override;
@@ -213,6 +215,7 @@
     auto checkExec(const Exec& e) -> void;
     auto orderEffects(const Exec& e) -> void;
     auto finish() -> void;
+    auto dump() -> void;
     auto probeConfig(int k) -> Str;
     auto readback(std::function<void(bool, const Str&)> f) -> void;
     auto startAll() -> void;
@@ -251,6 +254,7 @@
     if (core) {
         dk.under.clear();
         dk.busy = false;
+        node->hints(kept);
         node->startCore(dk.held, fmt::format("{:016x}", hash64(st.node, w.op.seed * 77 + std::uint64_t(life))), now());
         node->voter()->broken.ackBeforeSync = b == "ack-before-sync";
         node->voter()->broken.voteTwice = b == "vote-twice";
@@ -354,7 +358,7 @@
         d.boot = v.life;
         d.up = w.t - v.born;
         d.cold = v.cold && w.t - v.born < 20 * SEC;
-        w.to(i, l, ok ? w.lat() : v.up ? 900 * MS : w.lat(), [this, server, ok, d] { node->loadSeen(server, ok, d, now()); });
+        w.to(i, l, ok ? w.lat() : v.up ? 900 * MS : w.lat(), [this, server, ok, no = !v.up, d] { node->loadSeen(server, ok, no, d, now()); });
     });
 }
 
@@ -454,7 +458,7 @@
 auto World::closeConn(Conn* c) -> void { c->open = false; }
 
 auto World::serve(Conn* c, int tr, const Exchange& x) -> void {
-    auto from = x.last;
+    auto from = std::max<std::int64_t>(0, x.last);
     auto body = x.body;
     auto path = x.path;
     auto exid = x.exid;
@@ -1106,6 +1110,7 @@
         if (blank || leader() < 0) return;
         k.kill(true);
         k.dk.held = {};
+        k.kept.clear();
         say(k.st.node + " loses its disk");
         if (f == "replace-core") {
             byAddr.erase(k.st.peer);
@@ -1261,7 +1266,7 @@
             backAt = 0;
         });
         in(16 * SEC, [this] {
-            if (!backAt) broke("serving is back within 12 s of a total loss", "no whole reply yet");
+            if (!backAt) dump(), broke("serving is back within 12 s of a total loss", "no whole reply yet");
             else r.recovery = std::max(r.recovery, backAt - killedAll);
         });
     }
@@ -1393,6 +1398,7 @@
                 n++;
                 m->kill(true);
                 m->dk.held = {};
+                m->kept.clear();
                 say(m->st.node + " loses its disk");
                 in(SEC, [p = m.get()] { p->start(); });
             }
@@ -1418,7 +1424,7 @@
                 for (auto& m : w.d["plan"].GetArray())
                     if (jsStr(m, "state") == "booked" && jsInt(m, "at") + 5 * SEC < t + 1800000000LL * SEC) broke("a move fires exactly once", jsStr(m, "id") + " never fired");
             } else if (tries > 0) in(500 * MS, [last, tries] { (*last)(tries - 1); });
-            else broke("the newest accepted is read back at day's end", "no readback succeeds");
+            else dump(), broke("the newest accepted is read back at day's end", "no readback succeeds");
         });
     };
     at(op.duration + 6 * SEC, [last] { (*last)(20); });
@@ -1436,6 +1442,18 @@
     finish();
 }
 
+// Where every process stands; into the trace when the fleet does not come back.
+auto World::dump() -> void {
+    for (auto& m : ms) {
+        if (!m->up) {
+            say(m->st.node + " is down");
+            continue;
+        }
+        auto v = m->node->voter();
+        say(fmt::format("{}{} {}", m->frozen ? "frozen " : "", m->node->status(m->now()), v ? fmt::format("role {} disk {} bad {} reign {} term {} last {} commit {} under {}", int(v->role()), v->disk(), v->diskBad(), v->reign(), v->term(), v->last(), v->commit(), m->dk.under.size()) : ""));
+    }
+}
+
 auto World::finish() -> void {
     // Orders: generations are unique and follow real time.
     for (auto& a : ords)
