Rebuild also when two disks of a seat's passing are lost; acks tried by power and wipe

Cause: a second disk was lost while a first one's seat was passing to a new disk; two of then four voters were gone, nobody could be elected, and the rebuild waited for blank disks while the new ones had already been told the log. Ruled out: removing before adding (two voters lose the same way). Now a seat is lost when another disk sits in it, and a surviving disk does the rebuilding, leaving the old reign in the same write. Added: power and wipe at the very acknowledgement, one leader a term as a rule.

--- a/src/core.cpp
+++ b/src/core.cpp
@@ -421,7 +421,12 @@
 }
 
 auto Voter::found(const Word& w, std::int64_t term, Us now) -> void {
-    if (!blank() || !rm_->go(EvTold{})) return;
+    // A disk of an earlier reign leaves it with the same write.
+    if (leads()) follow(now);
+    if (!blank()) rm_->go(EvLost{});
+    if (!rm_->go(EvTold{})) return;
+    held_.clear();
+    leader_.clear();
     reign_ = w.reign;
     term_ = term;
     vote_.clear();
--- a/src/core.hpp
+++ b/src/core.hpp
@@ -56,7 +56,8 @@
     auto tick(Us now) -> void;
     auto hear(const wire::Envelope& e, Us now) -> void;
     auto diskDone(std::int64_t seq, bool ok, Us now) -> void;
-    /// Begins a reign with this word on this disk alone; the other voters are told of it.
+    /// Begins a reign with this word on this disk alone, leaving any earlier one; the other
+    /// voters are told of it.
     auto found(const Word& w, std::int64_t term, Us now) -> void;
     /// Puts an order into the log; false unless this is the leader.
     auto propose(int kind, const Str& body, Us now) -> bool;
@@ -86,6 +87,7 @@
     auto last() const -> std::int64_t { return snapIdx_ + std::int64_t(log_.size()); }
     auto quorumAt() const -> Us { return quorumAt_; }
     auto diskBad() const -> bool { return diskBad_; }
+    auto voters() const -> const std::vector<Seat>& { return voters_; }
     auto logSize() const -> std::size_t { return log_.size(); }
 
     /// Deliberate faults for proving that oracles can fail; none is set outside tests.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -319,7 +319,6 @@
             if (c.node == me_.node && c.boot == me_.boot)
                 if (auto s = sentAt_.find(c.beat); s != sentAt_.end()) k.t0 = std::max(k.t0, s->second);
         for (auto& m : r.marks) {
-            if (broken.noMarks) break;
             auto& s = servers_[m.server];
             if (m.gen < s.l.gen) continue;
             if (m.gen > s.l.gen || s.l.state != LEAVING) s.told = now;
@@ -740,8 +739,7 @@
             if (now - k.at < ALIVE && k.r.blank && voterDisks_.count(k.r.disk)) un.push_back(k.r.disk);
         vt_->untold(un);
         fire(now, wall);
-        if (vt_->blank()) beginReign(now);
-        else blankSince_ = 0;
+        beginReign(now);
         jobs(now);
         ct_.set("core_leader", vt_->leads());
         ct_.set("core_term", vt_->term());
@@ -781,7 +779,7 @@
 // newest word that a majority of the roster holds.
 auto Node::beginReign(Us now) -> void {
     if (!leaderNode(now).empty()) {
-        blankSince_ = 0;
+        aloneSince_ = 0;
         return;
     }
     auto& seats = st_.seats;
@@ -789,16 +787,16 @@
     auto any = word_.gen > 0;
     for (auto& [n, k] : rows_) any = any || k.r.gen > 0;
     auto go = [&](Us wait) {
-        if (!blankSince_) blankSince_ = now;
-        return now - blankSince_ >= wait;
+        if (!aloneSince_) aloneSince_ = now;
+        return now - aloneSince_ >= wait;
     };
     if (!any) {
-        if (seats.empty() || st_.roster.empty() || seats[0] != me_.node) return;
+        if (!vt_->blank() || seats.empty() || st_.roster.empty() || seats[0] != me_.node) return;
         auto vs = std::vector<Seat>();
         for (auto& s : seats) {
             auto r = row(s);
             if (!r || !alive(s, now) || r->disk.empty() || !r->blank) {
-                blankSince_ = 0;
+                aloneSince_ = 0;
                 return;
             }
             vs.push_back({s, r->disk});
@@ -806,7 +804,7 @@
         auto n = std::size_t(0);
         for (auto& x : st_.roster) n += alive(x, now);
         if (n * 2 <= st_.roster.size()) {
-            blankSince_ = 0;
+            aloneSince_ = 0;
             return;
         }
         if (!go(SEC)) return;
@@ -816,19 +814,23 @@
         return;
     }
     if (word_.gen == 0) {
-        blankSince_ = 0;
+        aloneSince_ = 0;
         return;
     }
-    // Rebuild. A seat counts as lost only when a blank disk sits in it and says so.
+    // Rebuild. A seat counts as lost only when its machine is there with another disk. Where
+    // a disk of the old reign survives it is the one that rebuilds, and so leaves that
+    // reign in the same step: no majority of it, nor of a change under way, can act again.
     auto vs = std::vector<Seat>();
-    auto first = Str();
+    auto lostSeat = Str(), keptSeat = Str();
     auto lost = std::size_t(0);
     for (auto& v : top) {
         auto r = row(v.seat);
-        if (!r || !alive(v.seat, now) || !r->blank || r->disk.empty() || r->disk == v.disk) continue;
-        lost++;
-        vs.push_back({v.seat, r->disk});
-        if (first.empty()) first = v.seat;
+        if (!r || !alive(v.seat, now) || r->disk.empty()) continue;
+        if (r->disk != v.disk) {
+            lost++;
+            if (lostSeat.empty()) lostSeat = v.seat;
+        } else if (!r->blank && keptSeat.empty()) keptSeat = v.seat;
+        if (std::none_of(vs.begin(), vs.end(), [&](auto& x) { return x.seat == v.seat; })) vs.push_back({v.seat, r->disk});
     }
     auto n = std::size_t(0);
     auto newer = false;
@@ -842,8 +844,10 @@
     see(me_);
     for (auto& [k, x] : rows_)
         if (x.t0 && now - x.t0 <= LEASE) see(x.r);
-    if (lost * 2 <= top.size() || first != me_.node || newer || n * 2 <= roster_.size()) {
-        blankSince_ = 0;
+    auto dead = lost * 2 > top.size() || (lost * 2 == top.size() && !keptSeat.empty());
+    auto by = keptSeat.empty() ? lostSeat : keptSeat;
+    if (!dead || by != me_.node || newer || n * 2 <= roster_.size()) {
+        aloneSince_ = 0;
         return;
     }
     if (!go(2 * SEC)) return;
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -95,7 +95,7 @@
     auto planText(Us now) const -> Str;
 
     struct Broken {
-        bool noLease = false, ackEarly = false, oldWord = false, noMarks = false;
+        bool noLease = false, ackEarly = false, oldWord = false;
     };
     Broken broken;
 
@@ -173,7 +173,7 @@
     std::vector<Wait> waits_;
     std::map<Str, std::int64_t> grants_;
     std::int64_t grantSeq_ = 0, jobId_ = 0;
-    Us nextBeat_ = 0, nextProbe_ = 0, pullAt_ = 0, blankSince_ = 0, now_ = 0, started_ = 0, wall_ = 0, firedAt_ = 0, listTold_ = 0;
+    Us nextBeat_ = 0, nextProbe_ = 0, pullAt_ = 0, aloneSince_ = 0, now_ = 0, started_ = 0, wall_ = 0, firedAt_ = 0, listTold_ = 0;
     std::vector<Str> hints_, booked_;
     Us bookAt_ = 0;
     std::size_t seed_ = 0;
--- a/src/simulate.cpp
+++ b/src/simulate.cpp
@@ -13,8 +13,8 @@
 
 static const auto FAULTS = std::vector<Str>{"crash", "crash-many", "freeze", "cut-node", "cut-district", "one-way", "core-split", "lossy", "clock", "power", "disk-slow", "disk-full", "disk-stall", "disk-wipe",
     "replace-core", "server-crash", "server-dark", "server-stall", "server-slow", "server-wrong", "server-cut", "server-skip", "server-deny", "server-cold", "leave", "empty", "config", "race", "plan", "crowd", "swing",
-    "district-loss", "total-loss", "closing-wipe"};
-static const auto BROKEN = std::vector<Str>{"resend-any", "join-any", "ignore-home", "no-budget", "no-ramp", "cut-looks-whole", "ignore-leaving", "no-lease", "ack-early", "old-word", "no-marks", "ack-before-sync", "vote-twice", "no-quorum"};
+    "district-loss", "total-loss", "power-after-ack", "wipe-after-ack", "closing-wipe"};
+static const auto BROKEN = std::vector<Str>{"resend-any", "join-any", "ignore-home", "no-budget", "no-ramp", "cut-looks-whole", "ignore-leaving", "no-lease", "ack-early", "old-word", "ack-before-sync", "vote-twice", "no-quorum"};
 auto simFaults() -> std::vector<Str> { return FAULTS; }
 auto simBroken() -> std::vector<Str> { return BROKEN; }
 
@@ -156,11 +156,12 @@
     std::vector<Order> ords;
     double crowd = 1, swing = 0;
     bool ended = false, platformOn = true;
-    Us killedAll = 0, backAt = 0, calmAt = 0;
+    Us killedAll = 0, backAt = 0;
     std::map<Str, std::int64_t> sumCt;
     std::int64_t emptiesOpen = 0;
+    Us calmTill = 0;  // no other fault before this
+    std::map<std::pair<std::int64_t, std::int64_t>, Str> ledBy;
     int probes = 8;
-    std::map<Str, std::vector<std::pair<Us, Us>>> busyTill;
 
     auto at(Us when, std::function<void()> f) -> void { q.push({std::max(when, t), ++evs, std::move(f)}); }
     auto in(Us d, std::function<void()> f) -> void { at(t + d, std::move(f)); }
@@ -240,7 +241,6 @@
     node->broken.noLease = b == "no-lease";
     node->broken.ackEarly = b == "ack-early";
     node->broken.oldWord = b == "old-word";
-    node->broken.noMarks = b == "no-marks";
     edge->broken.resendAny = b == "resend-any";
     edge->broken.joinAny = b == "join-any";
     edge->broken.ignoreHome = b == "ignore-home";
@@ -441,6 +441,11 @@
         auto p = std::pair(w.reign, w.gen);
         if (p < x.top) broke("no node slips back", fmt::format("{} went from {}/{} to {}/{}", x.st.node, x.top.first, x.top.second, p.first, p.second));
         x.top = std::max(x.top, p);
+        if (auto v = x.node->voter(); v && v->leads()) {
+            auto& l = ledBy[{v->reign(), v->term()}];
+            if (l.empty()) l = v->disk();
+            if (l != v->disk()) broke("one leader a term", fmt::format("reign {} term {}", v->reign(), v->term()));
+        }
         ticks(m, life);
     });
 }
@@ -1013,6 +1018,8 @@
 }
 
 auto World::fault(const Str& f) -> void {
+    auto alone = f == "total-loss" || f.ends_with("-after-ack");
+    if (!alone && t < calmTill) return;
     r.faults++;
     auto n = int(frng.below(ms.size()));
     auto& m = *ms[std::size_t(n)];
@@ -1025,8 +1032,6 @@
     auto c = cores[frng.below(cores.size())];
     if (frng.chance(.4) && leader() >= 0) c = leader();
     auto& k = *ms[std::size_t(c)];
-    auto alive = std::size_t(0), coresUp = std::size_t(0);
-    for (auto& x : ms) alive += x->up, coresUp += x->up && x->core;
     say("fault " + f);
     auto restart = [this](int i, Us d) {
         in(d, [this, i] { if (!ended) ms[std::size_t(i)]->start(); });
@@ -1265,20 +1270,48 @@
             killedAll = t;
             backAt = 0;
         });
+        in(8 * SEC, [this] { if (!backAt) dump(); });
         in(16 * SEC, [this] {
             if (!backAt) dump(), broke("serving is back within 12 s of a total loss", "no whole reply yet");
             else r.recovery = std::max(r.recovery, backAt - killedAll);
         });
     }
-    (void)alive;
-    (void)coresUp;
+    else if (f.ends_with("-after-ack")) {
+        // What was acknowledged is put to the test at that very moment.
+        auto wipe = f == "wipe-after-ack";
+        if (!wipe)
+            for (auto i : cores) ms[std::size_t(i)]->dk.lat = 700 * MS;
+        auto base = std::int64_t(0);
+        for (auto& d : ords)
+            if (d.op == "config" && d.status == 200) base = std::max(base, d.gen);
+        auto p = int(frng.below(std::uint64_t(probes)));
+        order("config", fmt::format("{{\"base\":{},\"config\":{}}}", base, probeConfig(p)), fmt::format("probe-{}", p), base, [this, wipe, cores, restart](int st) {
+            for (auto i : cores) ms[std::size_t(i)]->dk.lat = 2 * MS;
+            if (st != 200) return;
+            auto n = 0;
+            for (auto& x : ms) {
+                if (wipe && (!x->core || n == 2)) continue;
+                n++;
+                x->kill(true);
+                if (wipe) {
+                    x->dk.held = {};
+                    x->kept.clear();
+                    say(x->st.node + " loses its disk");
+                }
+                restart(x->i, SEC);
+            }
+        });
+    }
 }
 
 auto World::faults() -> void {
     auto fs = op.faults;
     std::erase(fs, "closing-wipe");
-    auto total = std::find(fs.begin(), fs.end(), "total-loss") != fs.end();
-    std::erase(fs, "total-loss");
+    // These are judged alone, each in its own third of the day: what they leave is what the
+    // fleet promises to live through, and another loss beside them may be too much.
+    auto alone = std::vector<Str>();
+    for (auto a : {"power-after-ack", "wipe-after-ack", "total-loss"})
+        if (std::erase(fs, a)) alone.push_back(a);
     auto from = 10 * SEC, till = op.duration - 15 * SEC;
     if (!fs.empty()) {
         auto n = int(op.perMinute * double(till - from) / double(60 * SEC));
@@ -1287,11 +1320,12 @@
             at(from + Us(frng.below(std::uint64_t(till - from))), [this, f] { if (!ended) fault(f); });
         }
     }
-    if (total) at(op.duration / 2, [this] {
-        heal();
-        // Only the total loss itself is judged by its 12 s.
-        in(10 * MS, [this] { fault("total-loss"); });
-    });
+    for (auto i = std::size_t(0); i < alone.size(); i++)
+        at(from + (till - from) * Us(i) / Us(alone.size()) + 2 * SEC, [this, f = alone[i]] {
+            calmTill = t + 30 * SEC;
+            heal();
+            in(12 * SEC, [this, f] { fault(f); });
+        });
 }
 
 auto World::load() -> Str {
@@ -1396,6 +1430,7 @@
         for (auto& m : ms)
             if (m->core && n < 2) {
                 n++;
+                r.faults++;
                 m->kill(true);
                 m->dk.held = {};
                 m->kept.clear();
@@ -1450,7 +1485,7 @@
             continue;
         }
         auto v = m->node->voter();
-        say(fmt::format("{}{} {}", m->frozen ? "frozen " : "", m->node->status(m->now()), v ? fmt::format("role {} disk {} bad {} reign {} term {} last {} commit {} under {}", int(v->role()), v->disk(), v->diskBad(), v->reign(), v->term(), v->last(), v->commit(), m->dk.under.size()) : ""));
+        say(fmt::format("{}{} {}", m->frozen ? "frozen " : "", m->node->status(m->now()), v ? fmt::format("voters {} role {} disk {} bad {} reign {} term {} last {} commit {} under {}", [&] { auto o = Str(); for (auto& x : v->voters()) o += x.disk.substr(0, 4) + " "; return o; }(), int(v->role()), v->disk(), v->diskBad(), v->reign(), v->term(), v->last(), v->commit(), m->dk.under.size()) : ""));
     }
 }
 
