A rebuild takes the newest word heard; a refunded extra send is not counted

Cause: the surviving voter lagged by one order, and a voter takes words from its own disk only, so it waited for ever for someone older. Now it keeps a newer word it hears aside, for a rebuild alone. Also found at 200 server faults a minute: 1842 extra sends counted where far fewer were made; one that found no server was counted and half refunded.

--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -419,14 +419,8 @@
     return false;
 }
 
-auto Edge::pay(const Exchange& x) -> bool {
-    // Reading a long prompt again costs more than reading a short one.
-    auto c = ONE + ONE * x.seq / 4096;
-    if (broken.noBudget) return true;
-    if (credit_ < c) return false;
-    credit_ -= c;
-    return true;
-}
+// Reading a long prompt again costs more than reading a short one.
+auto Edge::cost(const Exchange& x) const -> std::int64_t { return broken.noBudget ? 0 : ONE + ONE * x.seq / 4096; }
 
 // A send was lost. `ran`: bytes may have reached a server and it did not deny them.
 auto Edge::again(Exchange& x, bool ran, const Str& why, Us now) -> void {
@@ -446,19 +440,21 @@
     else if (x.tries >= x.m.maxTries) no = why + "; MaxTries is reached";
     else if (now >= x.due) no = why + "; its time is over", status = 504;
     if (!no.empty()) return fail(x, status, no, now);
-    if (!pay(x)) {
+    auto c = cost(x);
+    if (credit_ < c) {
         wantAt_ = now;
         ct_.add("budget_denied_total");
         return fail(x, 503, why + "; the fleet's budget for extra sends is spent", now);
     }
+    if (!start(x, now)) {
+        if (x.phase() != Phase::Finished) fail(x, 503, why + "; no other server has room", now);
+        return;
+    }
+    credit_ -= c;
     if (!x.m.model.empty()) x.moves--;
     ct_.add(on ? "migrations_ongoing_total" : "migrations_new_total");
     ct_.add("extra_sends_total");
     if (on) ct_.add("prompt_tokens_again_total", x.seq);
-    if (!start(x, now) && x.phase() != Phase::Finished) {
-        credit_ += ONE;  // nothing was sent
-        fail(x, 503, why + "; no other server has room", now);
-    }
 }
 
 auto Edge::refused(std::int64_t id, int a, Us now) -> void {
--- a/src/edge.hpp
+++ b/src/edge.hpp
@@ -156,7 +156,7 @@
     auto again(Exchange& x, bool ran, const Str& why, Us now) -> void;
     auto fail(Exchange& x, int status, const Str& why, Us now) -> void;
     auto finish(Exchange& x, const Str& how, Us now) -> void;
-    auto pay(const Exchange& x) -> bool;
+    auto cost(const Exchange& x) const -> std::int64_t;
     auto note(Exchange& x, Str s) -> void;
     auto pump(Us now) -> void;
     auto get(std::int64_t x, int a) -> Exchange*;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -296,7 +296,8 @@
 
 auto Node::merge(const wire::Beat& b, Us now) -> void {
     auto ask = Str();
-    auto best = std::pair(word_.reign, word_.gen);
+    auto best0 = std::max(std::pair(word_.reign, word_.gen), std::pair(heard_.reign, heard_.gen));
+    auto best = best0;
     for (auto& r : b.rows) {
         if (r.node.empty() || r.node.size() > 256 || r.peer.size() > 64) continue;
         if (r.node == me_.node) {
@@ -364,8 +365,8 @@
         pullAt_ = now + 50 * MS;
         auto e = env();
         auto w = wire::WordAsk();
-        w.reign = word_.reign;
-        w.gen = word_.gen;
+        w.reign = best0.first;
+        w.gen = best0.second;
         e.__set_wordAsk(w);
         po_.tell(ask, e);
         ct_.add("word_pulled_total");
@@ -375,6 +376,8 @@
 auto Node::takeWord(const wire::Word& w, Us now) -> void {
     // A voter takes its word from its own disk only: what it says it holds must last.
     if (vt_ && !vt_->blank()) {
+        if (std::pair(w.reign, w.gen) > std::pair(heard_.reign, heard_.gen))
+            if (auto n = Word(); n.load(w.doc) && n.reign == w.reign && n.gen == w.gen) heard_ = n;
         if (w.reign <= vt_->reign()) return;
         // Two may rebuild at once: a disk that voted in one such reign stays with it.
         // A later rebuild has seen a majority of these seats lost.
@@ -821,6 +824,7 @@
     // a disk of the old reign survives it is the one that rebuilds, and so leaves that
     // reign in the same step: no majority of it, nor of a change under way, can act again.
     auto vs = std::vector<Seat>();
+    auto best = std::max(std::pair(word_.reign, word_.gen), std::pair(heard_.reign, heard_.gen));
     auto lostSeat = Str(), keptSeat = Str();
     auto lost = std::size_t(0);
     for (auto& v : top) {
@@ -838,7 +842,7 @@
     auto see = [&](const wire::Row& r) {
         term = std::max(term, r.term);
         if (!roster_.count(r.node)) return;
-        if (std::pair(r.reign, r.gen) > std::pair(word_.reign, word_.gen)) newer = true;
+        if (std::pair(r.reign, r.gen) > best) newer = true;
         n += r.settled;
     };
     see(me_);
@@ -851,7 +855,7 @@
         return;
     }
     if (!go(2 * SEC)) return;
-    auto w = word_;
+    auto w = best == std::pair(word_.reign, word_.gen) ? word_ : heard_;
     w.reign = (w.reign / REIGN + 1) * REIGN + std::int64_t(hash64(me_.disk) % REIGN);
     w.gen++;
     w.setVoters(vs);
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -165,6 +165,7 @@
     std::map<Str, Server> servers_;
     std::map<std::int64_t, Us> sentAt_;
     Word word_;
+    Word heard_;  // a voter's: a newer word than its disk holds, kept for a rebuild only
     std::set<Str> voterDisks_;
     std::set<Str> roster_;
     std::unique_ptr<Voter> vt_;
