--- a/src/fake_platform.cpp
+++ b/src/fake_platform.cpp
@@ -99,10 +99,15 @@
     }
     auto ac = tcp::acceptor(p->io);
     if (!o.listen.empty()) {
-        ac.open(endpoint(o.listen).protocol());
-        ac.set_option(tcp::acceptor::reuse_address(true));
-        ac.bind(endpoint(o.listen));
-        ac.listen();
+        try {
+            ac.open(endpoint(o.listen).protocol());
+            ac.set_option(tcp::acceptor::reuse_address(true));
+            ac.bind(endpoint(o.listen));
+            ac.listen();
+        } catch (const std::exception& e) {
+            fmt::print(stderr, "duneturn fake-platform: cannot listen on {}: {}\n", o.listen, e.what());
+            return 1;
+        }
         asio::co_spawn(p->io, [&]() -> awaitable<void> {
             while (true) {
                 auto [ec, sk] = co_await ac.async_accept(quiet);
--- a/src/word.cpp
+++ b/src/word.cpp
@@ -257,7 +257,7 @@
                 jsMerge(c, b["patch"], c.GetAllocator());
             } else c.CopyFrom(b["config"], c.GetAllocator());
             for (auto& x : configCheck(c)) f.push_back({"/config" + (x.path == "/" ? "" : x.path), x.why});
-            o.AddMember("base", b["base"], al);
+            o.AddMember("base", jsInt(b, "base"), al);  // a Val would be moved out of b
             o.AddMember("config", Val(c, al), al);
             // A patch laid on another generation than it names must lose, not win by chance.
             if (op == "merge" && jsInt(b, "base") != w.configGen() && f.empty())
@@ -350,6 +350,17 @@
     }
 }
 
+TEST(Word, changeIsLaid) {
+    auto w = Word();
+    CHECK_EQ(200, order(w, "config", "a", fmt::format("{{\"base\":0,\"config\":{}}}", ONE_MAPPING)).status);
+    CHECK_EQ(200, order(w, "merge", "b", R"({"base":1,"patch":{"name":"x","budget":{"share":0.1}}})").status);
+    CHECK_EQ(Str("x"), jsStr(w.config(), "name"));
+    CHECK_EQ(409, order(w, "merge", "c", R"({"base":1,"patch":{"name":"y"}})").status);
+    CHECK_EQ(422, order(w, "merge", "d", R"({"base":2,"patch":{"mappings":null}})").status);
+    CHECK_EQ(Str("x"), jsStr(w.config(), "name"));
+    CHECK_EQ(std::int64_t(2), w.configGen());
+}
+
 TEST(Word, planFiresOnce) {
     auto w = Word();
     w.found({"n1"}, {{"n1", "d1"}});
