--- a/src/simulate.cpp
+++ b/src/simulate.cpp
@@ -1591,12 +1591,12 @@
 #include "test.hpp"
 namespace dt {
 
-static auto sim(std::uint64_t seed, std::vector<Str> faults, double perMinute, Str broken = "") -> SimResult {
+static auto sim(std::uint64_t seed, std::vector<Str> faults, double perMinute, Str broken = "", double scale = 0.5) -> SimResult {
     auto o = SimOptions();
     o.example = DT_EXAMPLES "/radar";
     o.seed = seed;
     o.duration = 90 * SEC;
-    o.scale = 0.5;
+    o.scale = scale;
     o.faults = std::move(faults);
     o.perMinute = perMinute;
     o.broken = std::move(broken);
@@ -1620,22 +1620,23 @@
         double perMinute;
         int seeds;
         Str rule;
+        double scale = 0.5;
     };
     auto vs = std::vector<Variant>{{"resend-any", {"server-crash", "server-cut"}, 30, 4, "a stream that cannot be resumed never runs twice"},
         {"join-any", {"server-skip"}, 30, 4, "nothing is dropped, repeated or joined wrongly"},
         {"ignore-home", {"crowd"}, 12, 2, "a home region is never left"},
         {"no-budget", {"server-cut", "server-crash", "server-deny"}, 300, 16, "extra tries stay near a fifth"},
-        {"no-ramp", {"server-cold"}, 30, 8, "a cold server is eased in"},
+        {"no-ramp", {"server-cold", "crowd"}, 40, 8, "a cold server is eased in", 1},
         {"cut-looks-whole", {"server-cut", "server-crash"}, 30, 8, "a cut reply never looks whole"},
         {"ignore-leaving", {"leave"}, 20, 4, "nothing new reaches a leaving server"},
         {"no-lease", {"cut-node", "config", "empty"}, 60, 8, "an acknowledged configuration is obeyed within 3 s"},
-        {"ack-early", {"wipe-after-ack"}, 1, 16, "readback is the newest accepted"},
+        {"ack-early", {"wipe-after-ack"}, 1, 8, "an acknowledged configuration is obeyed within 3 s"},
         {"old-word", {"config", "crash", "cut-node"}, 60, 16, "no node slips back"},
         {"no-quorum", {"core-split", "config", "race"}, 60, 4, "one leader a term"}};
     for (auto& v : vs) {
         auto seen = 0;
         for (auto s = 1; s <= v.seeds && !seen; s++)
-            for (auto& b : sim(std::uint64_t(s), v.faults, v.perMinute, v.name).broken) seen += b.starts_with(v.rule);
+            for (auto& b : sim(std::uint64_t(s), v.faults, v.perMinute, v.name, v.scale).broken) seen += b.starts_with(v.rule);
         CPPUNIT_ASSERT_MESSAGE(v.name + " was not seen", seen > 0);
     }
 }
