--- a/tests/fleet.sh
+++ b/tests/fleet.sh
@@ -113,4 +113,7 @@
 grep -q '^event: done' drain.txt || fail "the drained stream is not whole"
 down() { ! kill -0 "$(cat run/radar/pid/lahore-east-3)"; }
 until_ok 20 "the stopped node is gone" down
+scripts/fleet.sh stop radar >/dev/null
+# In a build with a sanitizer, nothing may have been found.
+if grep -l "Sanitizer\|runtime error" run/radar/log/*.log; then grep -h -A12 "Sanitizer\|runtime error" run/radar/log/*.log | head -60; fail "a sanitizer found something"; fi
 echo "all ok"
