Prompt affinity finds the shared beginning itself; stand-ins' caches are bounded

The key took the first 4096 or 8192 bytes, which reach past the shared part, so every exchange had a key of its own; and the stand-ins' caches never forgot, which hid it. Now the key is the longest beginning that has come before, and a cache holds 96 blocks.

--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -331,7 +331,7 @@
     x.body = body;
     x.moves = x.m.limit;
     x.seq = std::int64_t(body.size() / 4);
-    if (x.m.affinity) x.key = hash64(View(body).substr(0, x.m.affinity), 1) | 1;
+    if (x.m.affinity) x.key = beginning(View(body).substr(0, x.m.affinity));
     if (auto l = header(h, "Last-Event-Id"); !l.empty()) {
         auto v = whole(l);
         if (v < 0) x.counting = false, x.moves = 0;
@@ -352,6 +352,23 @@
     return id;
 }
 
+// Where the shared part of a prompt ends nobody says: it is the longest beginning, in steps
+// of 512 bytes, that has come before.
+auto Edge::beginning(View body) -> std::uint64_t {
+    constexpr auto B = std::size_t(512);
+    auto key = std::uint64_t(0);
+    for (auto n = B; n <= body.size(); n += B) {
+        auto h = hash64(body.substr(0, n), 1) | 1;
+        if (begun_.count(h)) key = h;
+        else begun_.insert(h), begunOrder_.push_back(h);
+    }
+    while (begunOrder_.size() > 16384) {
+        begun_.erase(begunOrder_.front());
+        begunOrder_.pop_front();
+    }
+    return key;
+}
+
 auto Edge::start(Exchange& x, Us now) -> bool {
     // What the newest configuration says of this mapping counts for every send.
     if (auto i = ru_.byName(x.m.name); i >= 0) {
--- a/src/edge.hpp
+++ b/src/edge.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // What becomes of a sender's request: the rules compiled from the configuration, the
 // placement, the sends, and the migration of streams. Logic only; see EdgePort.
+#include <deque>
 #include <functional>
 #include <memory>
 
@@ -147,6 +148,7 @@
         Str text;
     };
     auto rebuild() -> void;
+    auto beginning(View body) -> std::uint64_t;
     auto occupancy(const Str& server, const Server& s) -> double;
     auto rampShare(const Str& name, const Server& s, Us now) -> int;
     auto fitOf(const Str& s, Us now) -> double;
@@ -172,6 +174,8 @@
     std::map<std::int64_t, Exchange> xs_;
     std::vector<std::int64_t> gone_;
     std::map<Str, Fitness> fit_;
+    std::set<std::uint64_t> begun_;  // prompts' beginnings that came lately
+    std::deque<std::uint64_t> begunOrder_;
     std::vector<Past> past_;
     std::map<Str, std::size_t> queued_;
     bool draining_ = false, wanting_ = false;
--- a/src/fake_server.cpp
+++ b/src/fake_server.cpp
@@ -17,6 +17,28 @@
 auto fakePiece(View body, View w, std::int64_t i) -> Str { return fmt::format("{:016x}", hash64(body, hash64(w) + std::uint64_t(i))); }
 auto fakeWhole(View body, View w) -> Str { return fakePiece(body, w, 0); }
 
+auto FakeCache::read(View body) -> std::int64_t {
+    constexpr auto B = std::size_t(1024);
+    auto left = std::int64_t(body.size() / 4);
+    for (auto n = body.size() / B * B; n >= B; n -= B)
+        if (at_.count(hash64(body.substr(0, n)))) {
+            left = std::int64_t((body.size() - n) / 4);
+            break;
+        }
+    // The first block is touched last: a beginning is worth more than what hangs on it.
+    for (auto n = body.size() / B * B; n >= B; n -= B) {
+        auto h = hash64(body.substr(0, n));
+        if (auto i = at_.find(h); i != at_.end()) order_.erase(i->second);
+        order_.push_front(h);
+        at_[h] = order_.begin();
+    }
+    while (order_.size() > room) {
+        at_.erase(order_.back());
+        order_.pop_back();
+    }
+    return left;
+}
+
 namespace {
 
 // One thread: a fake server is small.
@@ -27,7 +49,7 @@
     Us born = bootNow();
     Str mode;              // the fault switched on
     std::int64_t faults = 0, after = 0, ran = 0;
-    std::list<std::uint64_t> cache;  // prompt beginnings read, newest first
+    FakeCache cache;
     std::ofstream log;
 
     auto cold() const -> bool { return op.cold && bootNow() - born < op.warmUs; }
@@ -35,25 +57,6 @@
         auto tm = asio::steady_timer(io, std::chrono::microseconds(t));
         co_await tm.async_wait(quiet);
     }
-    // Tokens to be read: those beyond the prompt beginnings that the cache holds.
-    auto toRead(const Str& body) -> std::int64_t {
-        constexpr auto B = std::size_t(1024);
-        auto left = std::int64_t(body.size() / 4);
-        for (auto n = body.size() / B * B; n >= B; n -= B) {
-            auto h = hash64(View(body).substr(0, n));
-            if (std::find(cache.begin(), cache.end(), h) != cache.end()) {
-                left = std::int64_t((body.size() - n) / 4);
-                break;
-            }
-        }
-        for (auto n = B; n <= body.size(); n += B) {
-            auto h = hash64(View(body).substr(0, n));
-            cache.remove(h);
-            cache.push_front(h);
-        }
-        while (cache.size() > 4096) cache.pop_back();
-        return left;
-    }
     auto line(const Str& s) -> void {
         if (log.is_open()) log << s << std::endl;
     }
@@ -134,7 +137,7 @@
     auto tokens = jsInt(d, "tokens", 16);
     auto slow = md == "slow" ? 20 : 1;
     prefill++;
-    co_await nap(std::max<Us>(MS, toRead(q.body()) * op.prefillUs * slow * (cold() ? 2 : 1)));
+    co_await nap(std::max<Us>(MS, cache.read(q.body()) * op.prefillUs * slow * (cold() ? 2 : 1)));
     prefill--;
     decode++;
     struct Less {
--- a/src/fakes.hpp
+++ b/src/fakes.hpp
@@ -1,5 +1,7 @@
 #pragma once
 // Stand-ins for what duneturn meets outside: model servers, senders, the platform.
+#include <list>
+
 #include "http.hpp"
 
 namespace dt {
@@ -9,6 +11,18 @@
 auto fakePiece(View body, View weights, std::int64_t i) -> Str;
 auto fakeWhole(View body, View weights) -> Str;
 
+/// The KV cache of a stand-in: the prompt beginnings read last, in blocks of 256 tokens.
+struct FakeCache {
+    std::size_t room = 96;
+    /// Reads a prompt; the tokens that were not in the cache.
+    auto read(View body) -> std::int64_t;
+    auto clear() -> void { order_.clear(), at_.clear(); }
+
+  private:
+    std::list<std::uint64_t> order_;  // newest first
+    std::map<std::uint64_t, std::list<std::uint64_t>::iterator> at_;
+};
+
 struct FakeServerOptions {
     Str listen, name = "server", weights = "w1", pool = "model", log;
     int slots = 8;
--- a/src/simulate.cpp
+++ b/src/simulate.cpp
@@ -75,7 +75,7 @@
     Us born = -3600 * SEC;
     int prefill = 0, decode = 0, most = 0;
     Str mode;
-    std::set<std::uint64_t> cache;
+    FakeCache cache;
     Us leavingAcked = 0;  // when the platform was told that the mark is held; 0 if not leaving
 };
 
@@ -508,17 +508,10 @@
             });
             return;
         }
-        constexpr auto B = std::size_t(1024);
-        auto left = std::int64_t(body.size() / 4);
+        auto left = s.cache.read(body);
         r.prompts++;
-        for (auto n = body.size() / B * B; n >= B; n -= B)
-            if (s.cache.count(hash64(View(body).substr(0, n)))) {
-                left = std::int64_t((body.size() - n) / 4);
-                r.cacheHits++;
-                break;
-            }
-        if (s.cache.size() > 8192) s.cache.clear();
-        for (auto n = B; n <= body.size(); n += B) s.cache.insert(hash64(View(body).substr(0, n)));
+        r.cacheHits += left < std::int64_t(body.size() / 4);
+        r.tokensRead += left;
         if (trs[std::size_t(tr)].execs.size() > 1) r.tokensAgain += left;
         auto isCold = s.cold && t - s.born < 20 * SEC;
         s.prefill++;
@@ -1565,7 +1558,7 @@
             ks += (ks.empty() ? "" : ",") + jsQuote(n) + ":" + bodyOf({{"sent", fmt::to_string(k.sent)}, {"whole", fmt::to_string(k.whole)}, {"moved", fmt::to_string(k.moved)}, {"denied", fmt::to_string(k.denied)}, {"failed", fmt::to_string(k.failed)},
                 {"cut", fmt::to_string(k.cut)}, {"spilled", fmt::to_string(k.spilled)}, {"p50Us", fmt::to_string(at(k.took, .5))}, {"p99Us", fmt::to_string(at(k.took, .99))}, {"first50Us", fmt::to_string(at(k.first, .5))}, {"first99Us", fmt::to_string(at(k.first, .99))}});
         auto line = bodyOf({{"seed", fmt::to_string(o.seed)}, {"broken", fmt::to_string(r->broken.size())}, {"digest", jsQuote(fmt::format("{:016x}", r->digest))}, {"faults", fmt::to_string(r->faults)}, {"firstSends", fmt::to_string(r->firsts)}, {"extraSends", fmt::to_string(r->extras)},
-            {"prompts", fmt::to_string(r->prompts)}, {"cacheHits", fmt::to_string(r->cacheHits)}, {"tokensReadAgain", fmt::to_string(r->tokensAgain)}, {"orders", fmt::to_string(r->orders)}, {"acknowledged", fmt::to_string(r->acked)}, {"unknown", fmt::to_string(r->unknown)},
+            {"prompts", fmt::to_string(r->prompts)}, {"cacheHits", fmt::to_string(r->cacheHits)}, {"tokensRead", fmt::to_string(r->tokensRead)}, {"migrations", fmt::to_string(r->counters["migrations_ongoing_total"])}, {"resends", fmt::to_string(r->counters["migrations_new_total"])}, {"budgetDenied", fmt::to_string(r->counters["budget_denied_total"])}, {"tokensReadAgain", fmt::to_string(r->tokensAgain)}, {"orders", fmt::to_string(r->orders)}, {"acknowledged", fmt::to_string(r->acked)}, {"unknown", fmt::to_string(r->unknown)},
             {"lastDisobedientUs", fmt::to_string(r->lastDisobedient)}, {"recoveryUs", fmt::to_string(r->recovery)}, {"configGeneration", fmt::to_string(r->wordGen)}, {"reign", fmt::to_string(r->reign)}, {"kinds", "{" + ks + "}"}});
         if (json) fmt::print("{}\n", line);
         else {
--- a/src/simulate.hpp
+++ b/src/simulate.hpp
@@ -26,7 +26,7 @@
     std::vector<Str> broken;    // rules that did not hold, the first ones
     std::vector<Str> trace;     // what happened, up to the first
     std::map<Str, SimKind> kinds;
-    std::int64_t sends = 0, firsts = 0, extras = 0, execs = 0, cacheHits = 0, prompts = 0, tokensAgain = 0, orders = 0, acked = 0, unknown = 0, faults = 0;
+    std::int64_t sends = 0, firsts = 0, extras = 0, execs = 0, cacheHits = 0, prompts = 0, tokensRead = 0, tokensAgain = 0, orders = 0, acked = 0, unknown = 0, faults = 0;
     std::int64_t wordGen = 0, reign = 0;
     Us lastDisobedient = 0;     // longest time from an acknowledged order to a send against it
     Us recovery = 0;            // from everything killed to the next whole reply
