--- a/src/simulate.cpp
+++ b/src/simulate.cpp
@@ -1315,8 +1315,8 @@
 auto World::faults() -> void {
     auto fs = op.faults;
     std::erase(fs, "closing-wipe");
-    // These are judged alone, each in its own third of the day: what they leave is what the
-    // fleet promises to live through, and another loss beside them may be too much.
+    // These are judged alone, at most one a day: what they leave is what the fleet promises
+    // to live through, and another loss beside them may be too much.
     auto alone = std::vector<Str>();
     for (auto a : {"power-after-ack", "wipe-after-ack", "total-loss"})
         if (std::erase(fs, a)) alone.push_back(a);
@@ -1328,12 +1328,14 @@
             at(from + Us(frng.below(std::uint64_t(till - from))), [this, f] { if (!ended) fault(f); });
         }
     }
-    for (auto i = std::size_t(0); i < alone.size(); i++)
-        at(from + (till - from) * Us(i) / Us(alone.size()) + 2 * SEC, [this, f = alone[i]] {
-            calmTill = t + 36 * SEC;
-            heal();
-            in(12 * SEC, [this, f] { fault(f); });
-        });
+    if (alone.empty()) return;
+    auto k = frng.below(alone.size() + (fs.empty() ? 0 : 1));
+    if (k == alone.size()) return;
+    at(from + (till - from) / 2 - 12 * SEC, [this, f = alone[k]] {
+        calmTill = t + 36 * SEC;
+        heal();
+        in(12 * SEC, [this, f] { fault(f); });
+    });
 }
 
 auto World::load() -> Str {
