A server whose load nobody has read of late is eased in as if cold

Cause: its district's nodes, its watchers among them, were lost with it, and the surviving edges went on by a load report from its former life. Ruled out: the listing's incarnation, told only once a second.

--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -186,6 +186,8 @@
     auto up = now - s.first;
     // After a loss it may be another life that replies: cold, until its load says otherwise.
     if (auto& f = fit_[name]; f.lostAt > s.seen && f.lostAt > s.first) up = std::min(up, now - f.lostAt);
+    // So it may where nobody has read its load of late.
+    else if (s.seen && now - s.seen > ALIVE) up = std::min(up, now - s.seen - ALIVE);
     else if (s.seen) {
         if (!s.d.cold && s.d.up >= ru_.rampOver) return ALL;
         up = s.d.up + (now - s.seen);
