--- a/src/simulate.cpp
+++ b/src/simulate.cpp
@@ -539,17 +539,11 @@
                 *order = std::max(*order, t + lat());
                 up(c, *order - t, std::move(f));
             };
-            *step = [this, c, sl, body, hd, w, md, tokens, stream, from, slow, step, later](std::int64_t i) {
+            *step = [this, c, sl, body, hd, w, md, tokens, stream, from, slow, wk = std::weak_ptr(step), later](std::int64_t i) {
+                auto step = wk.lock();
                 auto& s = ss[std::size_t(c->s)];
-                if (s.life != sl) {
-                    *step = nullptr;
-                    return;
-                }
-                auto leave = [&] {
-                    s.decode--;
-                    auto keep = step;
-                    in(0, [keep] { *keep = nullptr; });
-                };
+                if (s.life != sl) return;
+                auto leave = [&] { s.decode--; };
                 if (!c->open) return leave();
                 auto late = i > from + 3;
                 if (stream && md == "cut" && late) {
@@ -557,7 +551,7 @@
                     return leave();
                 }
                 if (md == "stall" && late) {
-                    in(100 * MS, [step, i] { if (*step) (*step)(i); });
+                    in(100 * MS, [step, i] { (*step)(i); });
                     return;
                 }
                 if (i > tokens) {
@@ -575,9 +569,9 @@
                     auto e = Event{fmt::to_string(n), "", d, fmt::format("id: {}\ndata: {}\n\n", n, d)};
                     later([c, e](Machine& m) { m.edge->upEvent(c->x, c->a, e, m.now()); });
                 }
-                in(20 * MS * slow, [step, i] { if (*step) (*step)(i + 1); });
+                in(20 * MS * slow, [step, i] { (*step)(i + 1); });
             };
-            in(20 * MS * slow, [step, from] { if (*step) (*step)(from + 1); });
+            in(20 * MS * slow, [step, from] { (*step)(from + 1); });
         });
     });
 }
@@ -594,7 +588,6 @@
             auto p = c.get();
             if (ms[std::size_t(p->m)]->up && ms[std::size_t(p->m)]->life == p->life) up(p, lat(), [p](Machine& m) { m.edge->upLost(p->x, p->a, "reset", m.now()); });
         }
-    std::erase_if(conns, [&](auto& c) { return false && c; });
 }
 
 // ---- senders
@@ -1168,7 +1161,8 @@
         if (!s.up || s.leavingAcked) return;
         // Marked through any node until one takes it, then taken away at short notice.
         auto mk = std::make_shared<std::function<void(int)>>();
-        *mk = [this, sv, mk](int tries) {
+        *mk = [this, sv, wk = std::weak_ptr(mk)](int tries) {
+            auto mk = wk.lock();
             auto i = aliveMachine();
             if (tries <= 0 || i < 0 || ended) return;
             auto& x = *ms[std::size_t(i)];
@@ -1215,7 +1209,8 @@
         auto z = m.st.district;
         order("empty", bodyOf({{"district", jsQuote(z)}}), z, 0, {});
         auto give = std::make_shared<std::function<void()>>();
-        *give = [this, z, give] {
+        *give = [this, z, wk = std::weak_ptr(give)] {
+            auto give = wk.lock();
             order("give-back", bodyOf({{"district", jsQuote(z)}}), z, 0, [this, give](int st) {
                 if (st == 200) emptiesOpen = 0;
                 else in(SEC, [give] { (*give)(); });
@@ -1238,7 +1233,8 @@
         auto z = m.st.district;
         order("book", bodyOf({{"at", jsQuote(wallText(t + 1800000000LL * SEC + 4 * SEC))}, {"move", bodyOf({{"op", "\"empty\""}, {"district", jsQuote(z)}})}}), z, 0, {});
         auto give = std::make_shared<std::function<void()>>();
-        *give = [this, z, give] {
+        *give = [this, z, wk = std::weak_ptr(give)] {
+            auto give = wk.lock();
             order("give-back", bodyOf({{"district", jsQuote(z)}}), z, 0, [this, give](int st) {
                 if (st == 200) emptiesOpen = 0;
                 else in(SEC, [give] { (*give)(); });
@@ -1419,7 +1415,8 @@
     platform();
     // The first configuration, as soon as it is taken.
     auto first = std::make_shared<std::function<void()>>();
-    *first = [this, first] {
+    *first = [this, wk = std::weak_ptr(first)] {
+        auto first = wk.lock();
         order("config", fmt::format("{{\"base\":0,\"config\":{}}}", probeConfig(0)), "probe-0", 0, [this, first](int st) {
             if (st != 200 && st != 409) in(500 * MS, [first] { (*first)(); });
             else
@@ -1455,7 +1452,8 @@
     // The last readback must succeed once things are calm.
     auto done = std::make_shared<bool>(false);
     auto last = std::make_shared<std::function<void(int)>>();
-    *last = [this, last, done](int tries) {
+    *last = [this, wk = std::weak_ptr(last), done](int tries) {
+        auto last = wk.lock();
         readback([this, last, done, tries](bool ok, const Str& body) {
             if (*done) return;
             if (ok) {
