Fleet test: the frozen node is silent beyond its lease before it is woken

Cause: one run in five woke it within 2 s, when its lease still held, so it had rightly never been stale. The wait is now for another node to count 3 s of silence.

--- a/tests/fleet.sh
+++ b/tests/fleet.sh
@@ -61,7 +61,8 @@
 
 # A frozen node that wakes past its lease denies before it has heard a majority again.
 scripts/fleet.sh signal radar karachi-4 STOP
-gone() { ctl 1 --json nodes | tr -d '\n ' | grep -q '"node":"karachi-4"[^}]*"alive":false'; }
+# Silent for longer than the lease, by another node's clock, before it is woken.
+gone() { [ "$(ctl 1 --json nodes | tr -d '\n ' | sed 's/.*"node":"karachi-4"[^}]*"ageUs":\([0-9]*\).*/\1/')" -gt 3000000 ]; }
 until_ok 15 "the others see karachi-4 gone" gone
 ctl 1 empty lahore-west >/dev/null || fail "empty"
 scripts/fleet.sh signal radar karachi-4 CONT
