--- a/src/fake_sender.cpp
+++ b/src/fake_sender.cpp
@@ -18,12 +18,7 @@
     std::int64_t sent = 0, whole = 0, denied = 0, failed = 0, cut = 0, broken = 0, again = 0;
     std::vector<Us> took, first;
 };
-struct Kind {
-    Str name, method, path, region;
-    double rate = 1;
-    std::int64_t prompt = 0, shared = 0, tokens = 0, prefixes = 1;
-    bool stream = false, plain = false;
-    Us patience = 0;
+struct Kind : DayKind {
     Tally t;
 };
 
@@ -231,18 +226,12 @@
     }
 }
 
-static auto at(std::vector<Us> v, double q) -> Us {
-    if (v.empty()) return 0;
-    std::sort(v.begin(), v.end());
-    return v[std::min(v.size() - 1, std::size_t(q * double(v.size())))];
-}
-
 auto FakeSender::report() -> Str {
     auto o = Str(), r = Str();
     for (auto& k : ks)
         o += (o.empty() ? "" : ",") + jsQuote(k.name) + ":" + bodyOf({{"sent", fmt::to_string(k.t.sent)}, {"whole", fmt::to_string(k.t.whole)}, {"denied", fmt::to_string(k.t.denied)}, {"failed", fmt::to_string(k.t.failed)},
-            {"cut", fmt::to_string(k.t.cut)}, {"broken", fmt::to_string(k.t.broken)}, {"cameBack", fmt::to_string(k.t.again)}, {"p50Us", fmt::to_string(at(k.t.took, .5))}, {"p99Us", fmt::to_string(at(k.t.took, .99))},
-            {"first50Us", fmt::to_string(at(k.t.first, .5))}, {"first99Us", fmt::to_string(at(k.t.first, .99))}});
+            {"cut", fmt::to_string(k.t.cut)}, {"broken", fmt::to_string(k.t.broken)}, {"cameBack", fmt::to_string(k.t.again)}, {"p50Us", fmt::to_string(quantile(k.t.took, .5))}, {"p99Us", fmt::to_string(quantile(k.t.took, .99))},
+            {"first50Us", fmt::to_string(quantile(k.t.first, .5))}, {"first99Us", fmt::to_string(quantile(k.t.first, .99))}});
     for (auto& s : rulesBroken) r += (r.empty() ? "" : ",") + jsQuote(s);
     return bodyOf({{"kinds", "{" + o + "}"}, {"rulesBroken", "[" + r + "]"}});
 }
@@ -268,18 +257,7 @@
     f->regions = jsList(d, "regions");
     for (auto& v : d["kinds"].GetArray()) {
         auto k = Kind();
-        k.name = jsStr(v, "name");
-        k.method = jsStr(v, "method", "POST");
-        k.path = jsStr(v, "path");
-        k.region = jsStr(v, "region");
-        k.rate = jsNum(v, "perSecond", 1);
-        k.prompt = jsInt(v, "promptTokens");
-        k.shared = jsInt(v, "sharedTokens");
-        k.prefixes = jsInt(v, "prefixes", 1);
-        k.tokens = jsInt(v, "tokens");
-        k.stream = jsBool(v, "stream");
-        k.plain = jsBool(v, "plain");
-        k.patience = jsInt(v, "patienceUs", 60 * SEC);
+        static_cast<DayKind&>(k) = dayKind(v);
         f->ks.push_back(k);
     }
     auto end = bootNow() + o.duration;
--- a/src/fake_server.cpp
+++ b/src/fake_server.cpp
@@ -1,6 +1,7 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <fstream>
 #include <list>
 #include <set>
@@ -17,6 +18,28 @@
 auto fakePiece(View body, View w, std::int64_t i) -> Str { return fmt::format("{:016x}", hash64(body, hash64(w) + std::uint64_t(i))); }
 auto fakeWhole(View body, View w) -> Str { return fakePiece(body, w, 0); }
 
+auto dayKind(const Val& v) -> DayKind {
+    auto k = DayKind();
+    k.name = jsStr(v, "name");
+    k.method = jsStr(v, "method", "POST");
+    k.path = jsStr(v, "path");
+    k.region = jsStr(v, "region");
+    k.rate = jsNum(v, "perSecond", 1);
+    k.prompt = jsInt(v, "promptTokens");
+    k.shared = jsInt(v, "sharedTokens");
+    k.prefixes = jsInt(v, "prefixes", 1);
+    k.tokens = jsInt(v, "tokens");
+    k.stream = jsBool(v, "stream");
+    k.plain = jsBool(v, "plain");
+    k.patience = jsInt(v, "patienceUs", 60 * SEC);
+    return k;
+}
+auto quantile(std::vector<Us> v, double q) -> Us {
+    if (v.empty()) return 0;
+    std::sort(v.begin(), v.end());
+    return v[std::min(v.size() - 1, std::size_t(q * double(v.size())))];
+}
+
 auto FakeCache::read(View body) -> std::int64_t {
     constexpr auto B = std::size_t(1024);
     auto left = std::int64_t(body.size() / 4);
--- a/src/fakes.hpp
+++ b/src/fakes.hpp
@@ -11,6 +11,18 @@
 auto fakePiece(View body, View weights, std::int64_t i) -> Str;
 auto fakeWhole(View body, View weights) -> Str;
 
+/// One kind of request of a day, as an example's day.json tells it.
+struct DayKind {
+    Str name, method, path, region;
+    double rate = 1;
+    std::int64_t prompt = 0, shared = 0, tokens = 0, prefixes = 1;
+    bool stream = false, plain = false;
+    Us patience = 0;
+};
+auto dayKind(const Val& v) -> DayKind;
+/// The value below which the part `q` of `v` lies; 0 of nothing.
+auto quantile(std::vector<Us> v, double q) -> Us;
+
 /// The KV cache of a stand-in: the prompt beginnings read last, in blocks of 256 tokens.
 struct FakeCache {
     std::size_t room = 96;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -194,7 +194,7 @@
 
 // A majority of voters, or of the roster, was heard within the lease and knew of no
 // newer word than is held here. Every acknowledged order is held by a majority of both.
-auto Node::counted(Us now, bool settledVoters, bool wordOnly) const -> bool {
+auto Node::counted(Us now, bool settledVoters) const -> bool {
     auto v = std::size_t(0), n = std::size_t(0);
     auto see = [&](const wire::Row& r) {
         if (std::pair(r.reign, r.gen) > std::pair(word_.reign, word_.gen)) return;
@@ -204,13 +204,12 @@
     see(me_);
     for (auto& [k, x] : rows_)
         if (x.t0 && now - x.t0 <= LEASE) see(x.r);
-    (void)wordOnly;
     return v * 2 > voterDisks_.size() || n * 2 > roster_.size();
 }
 
 auto Node::fresh(Us now) const -> bool {
     if (broken.noLease) return word_.gen > 0;
-    return word_.gen > 0 && me_.settled && counted(now, true, false);
+    return word_.gen > 0 && me_.settled && counted(now, true);
 }
 auto Node::ready(Us now) const -> bool {
     if (me_.stopping || !fresh(now) || word_.configGen() == 0) return false;
@@ -654,7 +653,7 @@
             i = servers_.erase(i);
         } else ++i;
     }
-    if (!me_.settled && word_.gen > 0 && counted(now, false, true) && (counted(now, true, false) || listTold_ > started_)) {
+    if (!me_.settled && word_.gen > 0 && counted(now, false) && (counted(now, true) || listTold_ > started_)) {
         me_.settled = true;
         logf("settled: generation {} of reign {}", word_.gen, word_.reign);
     }
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -145,7 +145,7 @@
     auto merge(const wire::Beat& b, Us now) -> void;
     auto takeWord(const wire::Word& w, Us now) -> void;
     auto wordTo(const Str& addr) -> void;
-    auto counted(Us now, bool settledVoters, bool wordOnly) const -> bool;
+    auto counted(Us now, bool settledVoters) const -> bool;
     auto proven(Proof& p, const std::function<bool(const wire::Row&)>& f, Us now) const -> bool;
     auto holds(const wire::Row& r, std::int64_t gen) const -> bool;
     auto serve(const Str& back, std::int64_t id, const Str& body, bool read, Us now) -> void;
--- a/src/simulate.cpp
+++ b/src/simulate.cpp
@@ -87,11 +87,8 @@
     bool open = true, counted = false;
 };
 
-struct Kind {
-    Str name, method, path, region, mapping;
-    double rate = 1;
-    std::int64_t prompt = 0, shared = 0, tokens = 0, prefixes = 1;
-    bool stream = false, plain = false, probe = false;
+struct Kind : DayKind {
+    bool probe = false;
 };
 
 struct Ask {  // one sender's request, over its tries
@@ -1387,17 +1384,7 @@
     for (auto i = std::size_t(0); i < ss.size(); i++) sByAddr[ss[i].addr] = int(i), sByName[ss[i].name] = int(i);
     for (auto& v : d3["kinds"].GetArray()) {
         auto k = Kind();
-        k.name = jsStr(v, "name");
-        k.method = jsStr(v, "method", "POST");
-        k.path = jsStr(v, "path");
-        k.region = jsStr(v, "region");
-        k.rate = jsNum(v, "perSecond", 1);
-        k.prompt = jsInt(v, "promptTokens");
-        k.shared = jsInt(v, "sharedTokens");
-        k.prefixes = jsInt(v, "prefixes", 1);
-        k.tokens = jsInt(v, "tokens");
-        k.stream = jsBool(v, "stream");
-        k.plain = jsBool(v, "plain");
+        static_cast<DayKind&>(k) = dayKind(v);
         ks.push_back(k);
     }
     auto p = Kind();
@@ -1537,12 +1524,6 @@
     return std::move(w->r);
 }
 
-static auto at(std::vector<Us> v, double q) -> Us {
-    if (v.empty()) return 0;
-    std::sort(v.begin(), v.end());
-    return v[std::min(v.size() - 1, std::size_t(q * double(v.size())))];
-}
-
 auto simulateRun(SimOptions o, int seeds, bool json) -> int {
     auto bad = 0;
     auto first = o.seed;
@@ -1556,7 +1537,7 @@
         auto ks = Str();
         for (auto& [n, k] : r->kinds)
             ks += (ks.empty() ? "" : ",") + jsQuote(n) + ":" + bodyOf({{"sent", fmt::to_string(k.sent)}, {"whole", fmt::to_string(k.whole)}, {"moved", fmt::to_string(k.moved)}, {"denied", fmt::to_string(k.denied)}, {"failed", fmt::to_string(k.failed)},
-                {"cut", fmt::to_string(k.cut)}, {"spilled", fmt::to_string(k.spilled)}, {"p50Us", fmt::to_string(at(k.took, .5))}, {"p99Us", fmt::to_string(at(k.took, .99))}, {"first50Us", fmt::to_string(at(k.first, .5))}, {"first99Us", fmt::to_string(at(k.first, .99))}});
+                {"cut", fmt::to_string(k.cut)}, {"spilled", fmt::to_string(k.spilled)}, {"p50Us", fmt::to_string(quantile(k.took, .5))}, {"p99Us", fmt::to_string(quantile(k.took, .99))}, {"first50Us", fmt::to_string(quantile(k.first, .5))}, {"first99Us", fmt::to_string(quantile(k.first, .99))}});
         auto line = bodyOf({{"seed", fmt::to_string(o.seed)}, {"broken", fmt::to_string(r->broken.size())}, {"digest", jsQuote(fmt::format("{:016x}", r->digest))}, {"faults", fmt::to_string(r->faults)}, {"firstSends", fmt::to_string(r->firsts)}, {"extraSends", fmt::to_string(r->extras)},
             {"prompts", fmt::to_string(r->prompts)}, {"cacheHits", fmt::to_string(r->cacheHits)}, {"tokensRead", fmt::to_string(r->tokensRead)}, {"migrations", fmt::to_string(r->counters["migrations_ongoing_total"])}, {"resends", fmt::to_string(r->counters["migrations_new_total"])}, {"budgetDenied", fmt::to_string(r->counters["budget_denied_total"])}, {"tokensReadAgain", fmt::to_string(r->tokensAgain)}, {"orders", fmt::to_string(r->orders)}, {"acknowledged", fmt::to_string(r->acked)}, {"unknown", fmt::to_string(r->unknown)},
             {"lastDisobedientUs", fmt::to_string(r->lastDisobedient)}, {"recoveryUs", fmt::to_string(r->recovery)}, {"configGeneration", fmt::to_string(r->wordGen)}, {"reign", fmt::to_string(r->reign)}, {"kinds", "{" + ks + "}"}});
