--- a/src/core.cpp
+++ b/src/core.cpp
@@ -13,12 +13,12 @@
 
 // ---- which role may follow which
 
-struct EvTold {};      // a reign's word reached this disk
-struct EvLost {};      // what the disk held is given up
+struct EvTold {};  // a reign's word reached this disk
+struct EvLost {};  // what the disk held is given up
 struct EvTimeout {};
-struct EvLiked {};     // a majority would vote
+struct EvLiked {};  // a majority would vote
 struct EvWon {};
-struct EvHanded {};    // the leader named this one its successor
+struct EvHanded {};  // the leader named this one its successor
 struct EvFollow {};
 
 struct RoleDef : msm::front::state_machine_def<RoleDef> {
@@ -31,12 +31,16 @@
     template <class S, class E, class T>
     using R = msm::front::Row<S, E, T, msm::front::none, msm::front::none>;
     struct transition_table
-        : mpl::vector<R<Blank, EvTold, Follower>, R<Follower, EvTimeout, Asking>, R<Follower, EvHanded, Candidate>, R<Follower, EvFollow, Follower>,
-                      R<Follower, EvLost, Blank>, R<Asking, EvTimeout, Asking>, R<Asking, EvLiked, Candidate>, R<Asking, EvFollow, Follower>,
-                      R<Asking, EvLost, Blank>, R<Candidate, EvTimeout, Asking>, R<Candidate, EvWon, Leader>, R<Candidate, EvFollow, Follower>,
-                      R<Candidate, EvLost, Blank>, R<Leader, EvFollow, Follower>> {};
+        : mpl::vector<R<Blank, EvTold, Follower>, R<Follower, EvTimeout, Asking>,
+              R<Follower, EvHanded, Candidate>, R<Follower, EvFollow, Follower>, R<Follower, EvLost, Blank>,
+              R<Asking, EvTimeout, Asking>, R<Asking, EvLiked, Candidate>, R<Asking, EvFollow, Follower>,
+              R<Asking, EvLost, Blank>, R<Candidate, EvTimeout, Asking>, R<Candidate, EvWon, Leader>,
+              R<Candidate, EvFollow, Follower>, R<Candidate, EvLost, Blank>, R<Leader, EvFollow, Follower>> {
+    };
     template <class F, class E>
-    void no_transition(E const&, F&, int) { wrong = true; }
+    void no_transition(E const&, F&, int) {
+        wrong = true;
+    }
     bool wrong = false;
 };
 
@@ -79,7 +83,8 @@
         if (e.idx > base) s.log.push_back(std::move(e));
 }
 
-Voter::Voter(VoterPort& p, Counters& c, std::uint64_t seed) : po_(p), ct_(c), rng_{seed}, rm_(std::make_unique<RoleMachine>()) {}
+Voter::Voter(VoterPort& p, Counters& c, std::uint64_t seed)
+    : po_(p), ct_(c), rng_{seed}, rm_(std::make_unique<RoleMachine>()) {}
 Voter::~Voter() = default;
 
 auto Voter::role() const -> Role { return Role(rm_->m.current_state()[0]); }
@@ -365,7 +370,8 @@
     }
     for (auto i = std::size_t(0); i < reads_.size();) {
         auto r = reads_[i];
-        if (applied_ >= r.commit && majority([&](auto& d) { return d == disk_ || peers_[d].round >= r.round; })) {
+        if (applied_ >= r.commit
+            && majority([&](auto& d) { return d == disk_ || peers_[d].round >= r.round; })) {
             reads_.erase(reads_.begin() + std::ptrdiff_t(i));
             po_.voterRead(r.id, true);
         } else i++;
@@ -470,7 +476,9 @@
         if (at(i).kind == VOTERS) return;
     auto put = [&](const std::vector<Seat>& vs) {
         auto s = Str("[");
-        for (auto& v : vs) s += fmt::format("{}{{\"seat\":{},\"disk\":{}}}", s.size() > 1 ? "," : "", jsQuote(v.seat), jsQuote(v.disk));
+        for (auto& v : vs)
+            s += fmt::format(
+                "{}{{\"seat\":{},\"disk\":{}}}", s.size() > 1 ? "," : "", jsQuote(v.seat), jsQuote(v.disk));
         append(VOTERS, s + "]", now);
     };
     for (auto i = std::size_t(0); i < voters_.size(); i++)
@@ -504,7 +512,9 @@
     if (!leads()) return false;
     auto b = Str();
     for (auto& v : voters_)
-        if (v.disk != disk_ && now - peers_[v.disk].heard < ELECT && (b.empty() || peers_[v.disk].match > peers_[b].match)) b = v.disk;
+        if (v.disk != disk_ && now - peers_[v.disk].heard < ELECT
+            && (b.empty() || peers_[v.disk].match > peers_[b].match))
+            b = v.disk;
     if (b.empty() || peers_[b].match < synced_) return false;
     auto e = env();
     auto t = wire::TakeOver();
@@ -530,7 +540,9 @@
     }
     if (blank()) return;
     if (leads()) {
-        if (majority([&](auto& d) { return d == disk_ || (peers_[d].heard && now - peers_[d].heard < QUORUM); })) quorumAt_ = now;
+        if (majority(
+                [&](auto& d) { return d == disk_ || (peers_[d].heard && now - peers_[d].heard < QUORUM); }))
+            quorumAt_ = now;
         if (diskBad_ || now - quorumAt_ > QUORUM) {
             ct_.add(diskBad_ ? "leader_gave_up_disk_total" : "leader_lost_quorum_total");
             if (!handOver(now) || now - quorumAt_ > QUORUM) {
@@ -582,7 +594,8 @@
         auto r = wire::VoteReply();
         r.pre = a.pre;
         auto good = a.lastTerm > termAt(last()) || (a.lastTerm == termAt(last()) && a.lastIdx >= last());
-        auto calm = !a.handed && ((leads() && now - quorumAt_ < QUORUM) || (!leader_.empty() && now - heardLeader_ < ELECT));
+        auto calm = !a.handed
+            && ((leads() && now - quorumAt_ < QUORUM) || (!leader_.empty() && now - heardLeader_ < ELECT));
         auto o = env();
         if (a.pre) {
             r.granted = a.term > term_ && good && !calm && !diskBad_;
@@ -593,7 +606,8 @@
         }
         if (calm && a.term > term_) return;
         if (a.term > term_) higher(a.term, now);
-        if (a.term == term_ && good && !diskBad_ && (vote_.empty() || vote_ == e.disk || broken.voteTwice) && !leads()) {
+        if (a.term == term_ && good && !diskBad_ && (vote_.empty() || vote_ == e.disk || broken.voteTwice)
+            && !leads()) {
             vote_ = e.disk;
             r.granted = true;
             due_ = now + ELECT + Us(rng_.below(ELECT));
@@ -618,12 +632,15 @@
         } else if (!r.pre && role() == Role::Candidate && r.term == term_) {
             got_.insert(e.disk);
             // Its own vote counts once its own disk holds it.
-            if ((pend_.empty() || !diskBad_) && majority([&](auto& d) { return got_.count(d) > 0; })) won(now);
+            if ((pend_.empty() || !diskBad_) && majority([&](auto& d) { return got_.count(d) > 0; }))
+                won(now);
         }
         return;
     }
     if (e.__isset.takeOver && !blank()) {
-        if (e.takeOver.term == term_ && role() == Role::Follower && isVoter(disk_) && !diskBad_ && rm_->go(EvHanded{})) campaign(false, true, now);
+        if (e.takeOver.term == term_ && role() == Role::Follower && isVoter(disk_) && !diskBad_
+            && rm_->go(EvHanded{}))
+            campaign(false, true, now);
         return;
     }
     if (e.__isset.appendAsk && !blank()) {
@@ -780,7 +797,8 @@
         auto voterRead(std::int64_t id, bool ok) -> void override {
             if (!ok) return;
             auto& r = l.reads[id];
-            if (v->word().gen < r) l.bad = fmt::format("a readback gave generation {} after {} was known", v->word().gen, r);
+            if (v->word().gen < r)
+                l.bad = fmt::format("a readback gave generation {} after {} was known", v->word().gen, r);
         }
         auto start() -> void {
             gate = {};
@@ -825,7 +843,9 @@
         if (w.gen == 0) return;
         auto& x = texts[w.gen];
         if (x.empty()) x = w.text();
-        else if (x != w.text()) bad = fmt::format("two words of generation {}: {} {}", w.gen, getenv("DT_SHOW") ? x : "", getenv("DT_SHOW") ? w.text() : "");
+        else if (x != w.text())
+            bad = fmt::format("two words of generation {}: {} {}", w.gen, getenv("DT_SHOW") ? x : "",
+                getenv("DT_SHOW") ? w.text() : "");
         top = std::max(top, w.gen);
     }
     auto run(int steps) -> void {
@@ -874,7 +894,9 @@
                     if (l != b->disk) bad = fmt::format("two leaders in term {}", b->v->term());
                     if (r.chance(.05)) {
                         auto k = fmt::format("k{}", key++);
-                        if (auto o = orderPrepare(b->v->head(), "empty", k, fmt::format("{{\"district\":\"z{}\"}}", r.below(5)), t)) b->v->propose(ORDER, *o, t);
+                        if (auto o = orderPrepare(b->v->head(), "empty", k,
+                                fmt::format("{{\"district\":\"z{}\"}}", r.below(5)), t))
+                            b->v->propose(ORDER, *o, t);
                     }
                     if (r.chance(.03)) {
                         reads[key] = top;
@@ -898,7 +920,10 @@
                     auto good = 0;
                     for (auto& o : bs) {
                         auto ok = o->v && !o->v->blank() && o->v->voters().size() == bs.size();
-                        for (auto& x : bs) ok = ok && std::any_of(o->v->voters().begin(), o->v->voters().end(), [&](auto& q) { return q.disk == x->disk; });
+                        for (auto& x : bs)
+                            ok = ok
+                                && std::any_of(o->v->voters().begin(), o->v->voters().end(),
+                                    [&](auto& q) { return q.disk == x->disk; });
                         good += ok;
                     }
                     if (good != n) continue;
@@ -909,7 +934,8 @@
                     b.wake = t + Us(r.below(500 * MS));
                 }
             }
-            if (s == steps - 1200) loss = 0, nextFault = INT64_MAX, calm = true;  // calm: they must agree again
+            if (s == steps - 1200)
+                loss = 0, nextFault = INT64_MAX, calm = true;  // calm: they must agree again
         }
         if (!bad.empty()) return;
         auto lead = 0;
@@ -917,15 +943,19 @@
         if (lead != 1) {
             bad = fmt::format("{} leaders after six calm seconds:", lead);
             for (auto& b : bs) {
-                bad += fmt::format(" [{} role {} term {} last {} commit {} bad {} under {} voters", b->disk, b->v ? int(b->v->role()) : -1, b->v ? b->v->term() : 0, b->v ? b->v->last() : 0, b->v ? b->v->commit() : 0, b->v && b->v->diskBad(), b->under.size());
+                bad += fmt::format(" [{} role {} term {} last {} commit {} bad {} under {} voters", b->disk,
+                    b->v ? int(b->v->role()) : -1, b->v ? b->v->term() : 0, b->v ? b->v->last() : 0,
+                    b->v ? b->v->commit() : 0, b->v && b->v->diskBad(), b->under.size());
                 if (b->v)
                     for (auto& q : b->v->voters()) bad += " " + q.disk;
                 bad += "]";
             }
         }
         for (auto& b : bs)
-            for (auto k = acked.size() > 100 ? acked.end() - 100 : acked.begin(); k != acked.end(); ++k)  // a word keeps the last 256
-                if (b->v && b->v->leads() && b->v->word().outcome(*k).status != 200) bad = "acknowledged and gone: " + *k;
+            for (auto k = acked.size() > 100 ? acked.end() - 100 : acked.begin(); k != acked.end();
+                 ++k)  // a word keeps the last 256
+                if (b->v && b->v->leads() && b->v->word().outcome(*k).status != 200)
+                    bad = "acknowledged and gone: " + *k;
     }
 };
 
--- a/src/core.hpp
+++ b/src/core.hpp
@@ -23,12 +23,12 @@
 /// One write, all of it or none, synced before it is reported done.
 struct DiskWrite {
     std::int64_t seq = 0;
-    std::int64_t epoch = 0;       // rises when the voter has learnt of a failed write
-    DiskState meta;               // disk, reign, term, vote, commit; log and snapDoc unused
-    std::int64_t cut = -1;        // entries from here on are dropped first
+    std::int64_t epoch = 0;  // rises when the voter has learnt of a failed write
+    DiskState meta;          // disk, reign, term, vote, commit; log and snapDoc unused
+    std::int64_t cut = -1;   // entries from here on are dropped first
     std::vector<wire::Entry> add;
-    bool snap = false;            // meta.snapIdx, snapTerm and doc replace all up to snapIdx
-    bool reset = false;           // everything kept before goes
+    bool snap = false;   // meta.snapIdx, snapTerm and doc replace all up to snapIdx
+    bool reset = false;  // everything kept before goes
     Str doc;
 };
 
@@ -135,7 +135,8 @@
     Rng rng_;
     std::unique_ptr<RoleMachine> rm_;
     Str disk_, vote_, leader_, snapDoc_;
-    std::int64_t reign_ = 0, term_ = 0, commit_ = 0, applied_ = 0, snapIdx_ = 0, snapTerm_ = 0, synced_ = 0, noop_ = 0, claim_ = 0, cutNext_ = -1, epoch_ = 0;
+    std::int64_t reign_ = 0, term_ = 0, commit_ = 0, applied_ = 0, snapIdx_ = 0, snapTerm_ = 0, synced_ = 0,
+                 noop_ = 0, claim_ = 0, cutNext_ = -1, epoch_ = 0;
     std::vector<wire::Entry> log_;
     std::map<Str, Peer> peers_;
     std::set<Str> got_;
--- a/src/ctl.cpp
+++ b/src/ctl.cpp
@@ -39,7 +39,9 @@
 )";
 }
 
-static auto code(int st) -> int { return st < 300 ? DONE : st == 504 ? UNKNOWN : st == 503 ? UNREACHED : DENIED; }
+static auto code(int st) -> int {
+    return st < 300 ? DONE : st == 504 ? UNKNOWN : st == 503 ? UNREACHED : DENIED;
+}
 
 static auto cell(const Val& v) -> Str { return v.IsString() ? Str(v.GetString()) : v.IsNull() ? "-" : js(v); }
 
@@ -81,10 +83,13 @@
         return false;
     }
     if (rc != DONE) {
-        fmt::print(stderr, "duneturn ctl: {} ({}){}\n", jsStr(d, "error", "denied"), r->result_int(), rc == UNKNOWN ? "; look it up with: order " + Str((*r)["Idempotency-Key"]) : "");
+        fmt::print(stderr, "duneturn ctl: {} ({}){}\n", jsStr(d, "error", "denied"), r->result_int(),
+            rc == UNKNOWN ? "; look it up with: order " + Str((*r)["Idempotency-Key"]) : "");
         if (d.IsObject() && d.HasMember("faults"))
-            for (auto& f : d["faults"].GetArray()) fmt::print(stderr, "  {}: {}\n", jsStr(f, "path"), jsStr(f, "why"));
-        if (d.IsObject() && d.HasMember("configGeneration")) fmt::print(stderr, "  the newest generation is {}\n", jsInt(d, "configGeneration"));
+            for (auto& f : d["faults"].GetArray())
+                fmt::print(stderr, "  {}: {}\n", jsStr(f, "path"), jsStr(f, "why"));
+        if (d.IsObject() && d.HasMember("configGeneration"))
+            fmt::print(stderr, "  the newest generation is {}\n", jsInt(d, "configGeneration"));
     }
     return rc == DONE;
 }
@@ -119,8 +124,13 @@
     }
     if ((c == "nodes" || c == "servers" || c == "beliefs") && need(0)) {
         if (!ask(o, "GET", "/v1/beliefs", "", d, rc)) return rc;
-        if (c == "nodes") rows("nodes", {"node", "district", "region", "alive", "ready", "settled", "reign", "generation", "leader", "disk", "credit", "operator"});
-        else if (c == "servers") rows("servers", {"server", "pool", "region", "district", "state", "weights", "occupancy", "toldUs"});
+        if (c == "nodes")
+            rows("nodes",
+                {"node", "district", "region", "alive", "ready", "settled", "reign", "generation", "leader",
+                    "disk", "credit", "operator"});
+        else if (c == "servers")
+            rows("servers",
+                {"server", "pool", "region", "district", "state", "weights", "occupancy", "toldUs"});
         else show(d);
         return rc;
     }
@@ -138,7 +148,9 @@
             if (!ask(o, "GET", "/v1/config", "", d, rc)) return rc == UNKNOWN ? int(UNREACHED) : rc;
             b = jsInt(d, "generation");
         }
-        if (ask(o, c == "apply" ? "PUT" : "PATCH", "/v1/config", bodyOf({{"base", fmt::to_string(b)}, {c == "apply" ? "config" : "patch", js(f)}}), d, rc)) show(d);
+        if (ask(o, c == "apply" ? "PUT" : "PATCH", "/v1/config",
+                bodyOf({{"base", fmt::to_string(b)}, {c == "apply" ? "config" : "patch", js(f)}}), d, rc))
+            show(d);
         return rc;
     }
     if (c == "plan" && need(0)) {
@@ -150,9 +162,11 @@
         for (auto& m : d["plan"].GetArray()) {
             auto& mv = m["move"];
             auto f = jsInt(m, "fired");
-            fmt::print("{:<8}{}  {:<10}{} {}{}\n", jsStr(m, "id"), wallText(jsInt(m, "at")), jsStr(m, "state"), jsStr(mv, "op"), jsStr(mv, "district"), f ? "  fired " + wallText(f) : "");
+            fmt::print("{:<8}{}  {:<10}{} {}{}\n", jsStr(m, "id"), wallText(jsInt(m, "at")),
+                jsStr(m, "state"), jsStr(mv, "op"), jsStr(mv, "district"), f ? "  fired " + wallText(f) : "");
         }
-        for (auto& e : d["empties"].GetObject()) fmt::print("emptied {} since {}\n", e.name.GetString(), wallText(e.value.GetInt64()));
+        for (auto& e : d["empties"].GetObject())
+            fmt::print("emptied {} since {}\n", e.name.GetString(), wallText(e.value.GetInt64()));
         return rc;
     }
     if ((c == "empty" || c == "give-back") && need(1)) return order(c, bodyOf({{"district", jsQuote(a[1])}}));
@@ -167,13 +181,16 @@
         } else mv = bodyOf({{"op", jsQuote(a[2])}, {"district", jsQuote(a[3])}});
         return order("book", bodyOf({{"at", jsQuote(a[1])}, {"move", mv}}));
     }
-    if (c == "roster" && need(2) && (a[1] == "add" || a[1] == "remove")) return order("roster", bodyOf({{"node", jsQuote(a[2])}, {"add", a[1] == "add" ? "true" : "false"}}));
+    if (c == "roster" && need(2) && (a[1] == "add" || a[1] == "remove"))
+        return order("roster", bodyOf({{"node", jsQuote(a[2])}, {"add", a[1] == "add" ? "true" : "false"}}));
     if (c == "order" && need(1)) {
         if (ask(o, "GET", "/v1/orders/" + a[1], "", d, rc)) show(d);
         return rc;
     }
     if (c == "live" && need(0)) {
-        if (ask(o, "GET", "/v1/exchanges", "", d, rc)) rows("exchanges", {"id", "mapping", "phase", "server", "ageUs", "sends", "migrationsLeft", "lastEventId"});
+        if (ask(o, "GET", "/v1/exchanges", "", d, rc))
+            rows("exchanges",
+                {"id", "mapping", "phase", "server", "ageUs", "sends", "migrationsLeft", "lastEventId"});
         return rc;
     }
     if (c == "explain" && need(1)) {
@@ -206,7 +223,8 @@
         if (ask(o, "GET", "/v1/where", "", d, rc)) rows("nodes", {"node", "address", "region", "district"});
         return rc;
     }
-    return use("no such command, or not with " + fmt::to_string(a.size() - 1) + " words behind it: " + c + "; see duneturn ctl --help");
+    return use("no such command, or not with " + fmt::to_string(a.size() - 1) + " words behind it: " + c
+        + "; see duneturn ctl --help");
 }
 
 auto compareBeliefs(const Val& a, const Val& b) -> std::vector<std::array<Str, 3>> {
@@ -224,16 +242,21 @@
         for (auto& v : b[k].GetArray()) m[jsStr(v, id)].second = &v;
         for (auto& [n, p] : m) {
             auto at = fmt::format("{}/{}/", k, n);
-            if (!p.first || !p.second) o.push_back({at, p.first ? "known" : "unknown", p.second ? "known" : "unknown"});
+            if (!p.first || !p.second)
+                o.push_back({at, p.first ? "known" : "unknown", p.second ? "known" : "unknown"});
             else cmp(at, *p.first, *p.second, ks);
         }
     };
-    lists("nodes", "node", {"boot", "district", "region", "peer", "sender", "operator", "alive", "reign", "generation", "disk", "leader", "ready", "settled"});
+    lists("nodes", "node",
+        {"boot", "district", "region", "peer", "sender", "operator", "alive", "reign", "generation", "disk",
+            "leader", "ready", "settled"});
     lists("servers", "server", {"address", "region", "district", "pool", "weights", "state", "generation"});
     auto& ra = a["relays"];
     auto& rb = b["relays"];
     for (auto& m : ra.GetObject())
-        if (auto i = rb.FindMember(m.name); i == rb.MemberEnd() || i->value != m.value) o.push_back({Str("relays/") + m.name.GetString(), cell(m.value), i == rb.MemberEnd() ? "-" : cell(i->value)});
+        if (auto i = rb.FindMember(m.name); i == rb.MemberEnd() || i->value != m.value)
+            o.push_back({Str("relays/") + m.name.GetString(), cell(m.value),
+                i == rb.MemberEnd() ? "-" : cell(i->value)});
     return o;
 }
 
@@ -251,10 +274,13 @@
     auto o = compareBeliefs(d[0], d[1]);
     if (json) {
         auto l = Str();
-        for (auto& x : o) l += (l.empty() ? "" : ",") + bodyOf({{"what", jsQuote(x[0])}, {"a", jsQuote(x[1])}, {"b", jsQuote(x[2])}});
+        for (auto& x : o)
+            l += (l.empty() ? "" : ",")
+                + bodyOf({{"what", jsQuote(x[0])}, {"a", jsQuote(x[1])}, {"b", jsQuote(x[2])}});
         fmt::print("{{\"differences\":[{}]}}\n", l);
     } else {
-        fmt::print("{} and {}: {} nodes, {} servers, {} differences\n", jsStr(d[0], "node"), jsStr(d[1], "node"), d[0]["nodes"].Size(), d[0]["servers"].Size(), o.size());
+        fmt::print("{} and {}: {} nodes, {} servers, {} differences\n", jsStr(d[0], "node"),
+            jsStr(d[1], "node"), d[0]["nodes"].Size(), d[0]["servers"].Size(), o.size());
         for (auto& x : o) fmt::print("  {:<36} {:<28} {}\n", x[0], x[1], x[2]);
     }
     return o.empty() ? DONE : DENIED;
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -81,8 +81,7 @@
             } catch (const std::exception&) {
                 try {
                     tr->close();
-                } catch (...) {
-                }
+                } catch (...) {}
                 wait = bootNow() + 100 * MS;
                 auto l = std::lock_guard(ctm);
                 ct.add("peer_send_failed_total");
@@ -152,7 +151,9 @@
         book_ = s;
         dcv_.notify_one();
     }
-    auto probe(const Str& server, const Str& addr) -> void override { asio::co_spawn(io, probeRun(server, addr), asio::detached); }
+    auto probe(const Str& server, const Str& addr) -> void override {
+        asio::co_spawn(io, probeRun(server, addr), asio::detached);
+    }
 
     // ---- EdgePort
     auto send(std::int64_t x, int a, const Str&, const Str& addr) -> void override {
@@ -199,7 +200,9 @@
         push(x, [&](Down& d) { d.ended = true, d.whole = whole; });
     }
     auto reply(std::int64_t x, int status, const Headers& h, const Str& body) -> void override {
-        push(x, [&](Down& d) { d.status = status, d.h = h, d.parts = {body}, d.headReady = d.ended = d.whole = true; });
+        push(x, [&](Down& d) {
+            d.status = status, d.h = h, d.parts = {body}, d.headReady = d.ended = d.whole = true;
+        });
     }
 
     // ---- peers
@@ -378,7 +381,9 @@
                 co_await t.async_wait(quiet);
             }
         }
-        if (ec) co_return lost(streamed ? "the stream closed before its completion mark" : "the reply was cut: " + ec.message());
+        if (ec)
+            co_return lost(streamed ? "the stream closed before its completion mark"
+                                    : "the reply was cut: " + ec.message());
     }
     if (streamed) co_return lost("the stream ended without its completion mark");
     auto l = std::lock_guard(mu_);
@@ -426,8 +431,15 @@
     for (auto& f : q) {
         // What concerns this connection only is not passed on.
         switch (f.name()) {
-        case http::field::host: case http::field::connection: case http::field::content_length: case http::field::transfer_encoding:
-        case http::field::keep_alive: case http::field::te: case http::field::trailer: case http::field::upgrade: case http::field::expect:
+        case http::field::host:
+        case http::field::connection:
+        case http::field::content_length:
+        case http::field::transfer_encoding:
+        case http::field::keep_alive:
+        case http::field::te:
+        case http::field::trailer:
+        case http::field::upgrade:
+        case http::field::expect:
         case http::field::proxy_connection: continue;
         default: h.emplace_back(Str(f.name_string()), Str(f.value()));
         }
@@ -573,12 +585,18 @@
         if (ec) {
             {
                 auto l = std::lock_guard(ctm_);
-                if (ec != http::error::end_of_stream && ec != asio::error::operation_aborted) ct2_.add("bad_input_total");
+                if (ec != http::error::end_of_stream && ec != asio::error::operation_aborted)
+                    ct2_.add("bad_input_total");
             }
-            if (ec == http::error::header_limit) co_await deny(http::status::request_header_fields_too_large, "the header is too large");
-            else if (ec == http::error::body_limit) co_await deny(http::status::payload_too_large, "the body is too large");
-            else if (ec == beast::error::timeout) co_await deny(http::status::request_timeout, "the request came too slowly");
-            else if (ec.category() == http::make_error_code(http::error::bad_method).category() && ec != http::error::end_of_stream && ec != http::error::partial_message) co_await deny(http::status::bad_request, "malformed request: " + ec.message());
+            if (ec == http::error::header_limit)
+                co_await deny(http::status::request_header_fields_too_large, "the header is too large");
+            else if (ec == http::error::body_limit)
+                co_await deny(http::status::payload_too_large, "the body is too large");
+            else if (ec == beast::error::timeout)
+                co_await deny(http::status::request_timeout, "the request came too slowly");
+            else if (ec.category() == http::make_error_code(http::error::bad_method).category()
+                && ec != http::error::end_of_stream && ec != http::error::partial_message)
+                co_await deny(http::status::bad_request, "malformed request: " + ec.message());
             break;
         }
         auto q = p.release();
@@ -699,18 +717,28 @@
     } else if (path == "/v1/decisions" && get) {
         auto l = std::lock_guard(mu_);
         r.body() = edge->decisions(std::atoll(query(target, "after").c_str()));
-    } else if ((path == "/v1/config" || path == "/v1/word" || path == "/v1/plan" || path.starts_with("/v1/orders/")) && get) {
+    } else if ((path == "/v1/config" || path == "/v1/word" || path == "/v1/plan"
+                   || path.starts_with("/v1/orders/"))
+        && get) {
         auto o = co_await await([&](std::int64_t id) { node->read(id, bootNow()); });
         if (o.status == 200 && path != "/v1/word") {
             auto w = Word();
             w.load(o.body);
             auto g = fmt::to_string(w.gen);
-            if (path == "/v1/config") o.body = bodyOf({{"generation", fmt::to_string(w.configGen())}, {"config", js(w.config())}});
-            else if (path == "/v1/plan") o.body = bodyOf({{"generation", g}, {"plan", js(w.d["plan"])}, {"empties", js(w.d["empties"])}});
+            if (path == "/v1/config")
+                o.body = bodyOf({{"generation", fmt::to_string(w.configGen())}, {"config", js(w.config())}});
+            else if (path == "/v1/plan")
+                o.body =
+                    bodyOf({{"generation", g}, {"plan", js(w.d["plan"])}, {"empties", js(w.d["empties"])}});
             else {
                 auto x = w.outcome(path.substr(11));
-                if (x.status) o.body = bodyOf({{"known", "true"}, {"status", fmt::to_string(x.status)}, {"body", x.body}});
-                else o = {404, bodyOf({{"known", "false"}, {"error", jsQuote("no order of this key is in the log")}})};
+                if (x.status)
+                    o.body =
+                        bodyOf({{"known", "true"}, {"status", fmt::to_string(x.status)}, {"body", x.body}});
+                else
+                    o = {404,
+                        bodyOf(
+                            {{"known", "false"}, {"error", jsQuote("no order of this key is in the log")}})};
             }
         }
         set(o);
@@ -722,7 +750,8 @@
         set(co_await order(path.substr(11)));
     } else if (path == "/v1/platform/servers" && q.method() == http::verb::put) {
         set(co_await await([&](std::int64_t id) { node->list(id, q.body(), bootNow()); }));
-    } else if (path.starts_with("/v1/platform/servers/") && path.ends_with("/leaving") && q.method() == http::verb::post) {
+    } else if (path.starts_with("/v1/platform/servers/") && path.ends_with("/leaving")
+        && q.method() == http::verb::post) {
         auto n = path.substr(21, path.size() - 21 - 8);
         set(co_await await([&](std::int64_t id) { node->mark(id, n, bootNow()); }));
     } else {
@@ -800,12 +829,16 @@
     auto conf = std::make_shared<tt::TConfiguration>(8 << 20, 8 << 20, 64);
     struct Framed : tt::transport::TFramedTransportFactory {
         std::shared_ptr<tt::TConfiguration> c;
-        auto getTransport(std::shared_ptr<tt::transport::TTransport> t) -> std::shared_ptr<tt::transport::TTransport> override { return std::make_shared<tt::transport::TFramedTransport>(t, c); }
+        auto getTransport(std::shared_ptr<tt::transport::TTransport> t)
+            -> std::shared_ptr<tt::transport::TTransport> override {
+            return std::make_shared<tt::transport::TFramedTransport>(t, c);
+        }
     };
     auto fr = std::make_shared<Framed>();
     fr->c = conf;
     auto keep = std::shared_ptr<wire::PeerIf>(this, [](auto) {});
-    auto srv = tt::server::TThreadedServer(std::make_shared<wire::PeerProcessor>(keep), ss, fr, std::make_shared<tt::protocol::TCompactProtocolFactoryT<tt::transport::TTransport>>(8 << 20, 100000));
+    auto srv = tt::server::TThreadedServer(std::make_shared<wire::PeerProcessor>(keep), ss, fr,
+        std::make_shared<tt::protocol::TCompactProtocolFactoryT<tt::transport::TTransport>>(8 << 20, 100000));
     srv.setConcurrentClientLimit(512);
     auto perr = std::atomic<bool>(false);
     auto pt = std::thread([&] {
@@ -818,7 +851,8 @@
         }
     });
     if (op.core) dt = std::thread([this] { diskLoop(); });
-    logf("{} {} starts: district {}, region {}, peer {}, sender {}, operator {}", op.core ? "core" : "edge", op.st.node, op.st.district, op.st.region, op.st.peer, op.st.sender, op.st.opr);
+    logf("{} {} starts: district {}, region {}, peer {}, sender {}, operator {}", op.core ? "core" : "edge",
+        op.st.node, op.st.district, op.st.region, op.st.peer, op.st.sender, op.st.opr);
     auto sig = asio::signal_set(io, SIGTERM, SIGINT);
     sig.async_wait([&](beast::error_code ec, int) {
         if (ec) return;
--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -30,11 +30,14 @@
     template <class S, class E, class T>
     using R = msm::front::Row<S, E, T, msm::front::none, msm::front::none>;
     struct transition_table
-        : mpl::vector<R<Queued, EvSend, Sending>, R<Queued, EvEnd, Finished>, R<Sending, EvBytes, Delivering>, R<Sending, EvLoss, Migrating>, R<Sending, EvEnd, Finished>,
-                      R<Delivering, EvBytes, Delivering>, R<Delivering, EvLoss, Migrating>, R<Delivering, EvEnd, Finished>, R<Migrating, EvSend, Sending>,
-                      R<Migrating, EvWait, Queued>, R<Migrating, EvEnd, Finished>> {};
+        : mpl::vector<R<Queued, EvSend, Sending>, R<Queued, EvEnd, Finished>, R<Sending, EvBytes, Delivering>,
+              R<Sending, EvLoss, Migrating>, R<Sending, EvEnd, Finished>, R<Delivering, EvBytes, Delivering>,
+              R<Delivering, EvLoss, Migrating>, R<Delivering, EvEnd, Finished>, R<Migrating, EvSend, Sending>,
+              R<Migrating, EvWait, Queued>, R<Migrating, EvEnd, Finished>> {};
     template <class F, class E>
-    void no_transition(E const&, F&, int) { wrong = true; }
+    void no_transition(E const&, F&, int) {
+        wrong = true;
+    }
     bool wrong = false;
 };
 struct ExchangeMachine {
@@ -153,11 +156,16 @@
 auto Edge::note(Exchange& x, Str s) -> void {
     if (x.trace.size() < 200) x.trace.push_back(std::move(s));
 }
-auto Edge::tally(const Exchange& x, View what) -> void { ct_.add(fmt::format("exchanges_total{{mapping=\"{}\",outcome=\"{}\"}}", x.m.name, what)); }
+auto Edge::tally(const Exchange& x, View what) -> void {
+    ct_.add(fmt::format("exchanges_total{{mapping=\"{}\",outcome=\"{}\"}}", x.m.name, what));
+}
 
 static auto header(const Headers& h, View k) -> Str {
     for (auto& [n, v] : h)
-        if (n.size() == k.size() && std::equal(n.begin(), n.end(), k.begin(), [](char a, char b) { return std::tolower(a) == std::tolower(b); })) return v;
+        if (n.size() == k.size() && std::equal(n.begin(), n.end(), k.begin(), [](char a, char b) {
+                return std::tolower(a) == std::tolower(b);
+            }))
+            return v;
     return "";
 }
 static auto whole(const Str& s) -> std::int64_t {
@@ -234,23 +242,42 @@
     for (auto& st : x.m.prog) {
         if (cs.empty()) break;
         switch (st.op) {
-        case Op::Pool: keep("pool " + st.s, [&](auto& c) { return c.s->l.pool == st.s; }); all = cs.size(); break;
-        case Op::Listed: keep("listed", [&](auto& c) { return broken.ignoreLeaving ? !c.s->l.address.empty() : c.s->l.state == UP && !c.s->l.address.empty(); }); break;
-        case Op::Emptied: keep("not emptied", [&](auto& c) { return !n_.word().emptied(c.s->l.district); }); break;
+        case Op::Pool:
+            keep("pool " + st.s, [&](auto& c) { return c.s->l.pool == st.s; });
+            all = cs.size();
+            break;
+        case Op::Listed:
+            keep("listed", [&](auto& c) {
+                return broken.ignoreLeaving ? !c.s->l.address.empty()
+                                            : c.s->l.state == UP && !c.s->l.address.empty();
+            });
+            break;
+        case Op::Emptied:
+            keep("not emptied", [&](auto& c) { return !n_.word().emptied(c.s->l.district); });
+            break;
         case Op::Home:
             if (broken.ignoreHome) break;
-            keep("home " + st.s, [&](auto& c) { return c.s->l.region == (st.s == "@near" ? x.region : st.s); });
+            keep("home " + st.s,
+                [&](auto& c) { return c.s->l.region == (st.s == "@near" ? x.region : st.s); });
             break;
         case Op::Weights:
-            if (!x.weights.empty() && x.last >= 0) keep("weights " + x.weights, [&](auto& c) { return c.s->l.weights == x.weights; });
+            if (!x.weights.empty() && x.last >= 0)
+                keep("weights " + x.weights, [&](auto& c) { return c.s->l.weights == x.weights; });
             break;
         case Op::Untried:
-            if (!x.tried.empty()) soft("untried", [&](auto& c) { return std::find(x.tried.begin(), x.tried.end(), *c.n) == x.tried.end(); });
+            if (!x.tried.empty())
+                soft("untried", [&](auto& c) {
+                    return std::find(x.tried.begin(), x.tried.end(), *c.n) == x.tried.end();
+                });
             break;
         case Op::Fit:
-            soft("fit", [&](auto& c) { return !(c.s->seen && now - c.s->seen < SEEN && c.s->d.dark) && fitOf(*c.n, now) >= st.w; });
+            soft("fit", [&](auto& c) {
+                return !(c.s->seen && now - c.s->seen < SEEN && c.s->d.dark) && fitOf(*c.n, now) >= st.w;
+            });
+            break;
+        case Op::Ramp:
+            keep("ramp", [&](auto& c) { return fit_[*c.n].inflight < rampShare(*c.n, *c.s, now); });
             break;
-        case Op::Ramp: keep("ramp", [&](auto& c) { return fit_[*c.n].inflight < rampShare(*c.n, *c.s, now); }); break;
         case Op::Room:
             for (auto& c : cs) c.occ = occupancy(*c.n, *c.s) / std::max(1, c.s->l.slots);
             keep("room", [&](auto& c) { return c.occ < st.w; });
@@ -260,7 +287,10 @@
             auto low = [&](auto& c) { return near(c) && c.occ < st.w; };
             if (std::any_of(cs.begin(), cs.end(), low)) keep("near " + x.region, near);
             else {
-                keep(fmt::format("spill from {}", x.region), [&](auto& c) { return near(c) || std::find(x.m.spill.begin(), x.m.spill.end(), c.s->l.region) != x.m.spill.end(); });
+                keep(fmt::format("spill from {}", x.region), [&](auto& c) {
+                    return near(c)
+                        || std::find(x.m.spill.begin(), x.m.spill.end(), c.s->l.region) != x.m.spill.end();
+                });
             }
             break;
         }
@@ -282,7 +312,8 @@
                 // its cache, unless it is much busier than the least occupied one.
                 auto ord = std::vector<std::size_t>();
                 for (auto i = std::size_t(0); i < cs.size(); i++) ord.push_back(i);
-                std::sort(ord.begin(), ord.end(), [&](auto i, auto j) { return hash64(*cs[i].n, x.key) > hash64(*cs[j].n, x.key); });
+                std::sort(ord.begin(), ord.end(),
+                    [&](auto i, auto j) { return hash64(*cs[i].n, x.key) > hash64(*cs[j].n, x.key); });
                 b = least;
                 how = "least occupied, cache homes are busy";
                 for (auto i = std::size_t(0); i < ord.size() && i < 2; i++)
@@ -296,8 +327,10 @@
                 b = cost(cs[i]) <= cost(cs[j]) ? i : j;
             }
             pick = *cs[b].n;
-            say += fmt::format(", picked {} ({}, region {}, occupancy {:.2f}, fitness {:.2f})", pick, how, cs[b].s->l.region, cs[b].occ, fitOf(pick, now));
-            if (!dry && cs[b].s->l.region != x.region) ct_.add(fmt::format("spilled_total{{mapping=\"{}\"}}", x.m.name));
+            say += fmt::format(", picked {} ({}, region {}, occupancy {:.2f}, fitness {:.2f})", pick, how,
+                cs[b].s->l.region, cs[b].occ, fitOf(pick, now));
+            if (!dry && cs[b].s->l.region != x.region)
+                ct_.add(fmt::format("spilled_total{{mapping=\"{}\"}}", x.m.name));
             break;
         }
         }
@@ -309,7 +342,8 @@
 
 // ---- the walk of an exchange
 
-auto Edge::accept(const Str& method, const Str& path, const Headers& h, const Str& body, Us now) -> std::int64_t {
+auto Edge::accept(const Str& method, const Str& path, const Headers& h, const Str& body, Us now)
+    -> std::int64_t {
     auto id = ++next_;
     auto& x = xs_[id];
     x.id = id;
@@ -325,8 +359,12 @@
     auto i = ru_.match(method, path);
     if (draining_) return fail(x, 503, "this node is stopping", now), id;
     if (!n_.fresh(now)) return fail(x, 503, "this node has not heard a majority within its lease", now), id;
-    if (emptiedAt_ > 0 && now - emptiedAt_ > 4 * SEC) return fail(x, 503, "this district is emptied", now), id;
-    if (i < 0) return fail(x, ru_.gen ? 404 : 503, ru_.gen ? "no mapping for this path" : "no configuration yet", now), id;
+    if (emptiedAt_ > 0 && now - emptiedAt_ > 4 * SEC)
+        return fail(x, 503, "this district is emptied", now), id;
+    if (i < 0)
+        return fail(x, ru_.gen ? 404 : 503, ru_.gen ? "no mapping for this path" : "no configuration yet",
+                   now),
+               id;
     x.m = ru_.ms[std::size_t(i)];
     x.due = now + x.m.deadline;
     x.h = h;
@@ -340,13 +378,17 @@
         else x.last = v;
     }
     if (x.seq > x.m.maxSequence) x.moves = 0;
-    note(x, fmt::format("accept: mapping {}, region {}, deadline {} us, migrations {}, sends {}", x.m.name, x.region, x.m.deadline, x.moves, x.m.maxTries));
+    note(x,
+        fmt::format("accept: mapping {}, region {}, deadline {} us, migrations {}, sends {}", x.m.name,
+            x.region, x.m.deadline, x.moves, x.m.maxTries));
     ct_.add("accepted_total");
     // Nobody goes ahead of those who wait for the same servers with no less urgency.
-    auto wait = std::any_of(queued_.begin(), queued_.end(), [&](auto& q) { return q.second > 0; }) && queued_[x.m.pool] > 0;
+    auto wait = std::any_of(queued_.begin(), queued_.end(), [&](auto& q) { return q.second > 0; })
+        && queued_[x.m.pool] > 0;
     if (!wait && start(x, now)) return id;
     if (x.phase() == Phase::Finished) return id;
-    if (queued_[x.m.pool] >= x.m.queue || x.m.queueUs == 0) return fail(x, 503, "the servers are full and so is the queue", now), id;
+    if (queued_[x.m.pool] >= x.m.queue || x.m.queueUs == 0)
+        return fail(x, 503, "the servers are full and so is the queue", now), id;
     queued_[x.m.pool]++;
     x.queuedTill = std::min(x.due, now + x.m.queueUs);
     note(x, fmt::format("+{} us queued behind {}", now - x.born, queued_[x.m.pool] - 1));
@@ -375,7 +417,9 @@
     // What the newest configuration says of this mapping counts for every send.
     if (auto i = ru_.byName(x.m.name); i >= 0) {
         auto& m = ru_.ms[std::size_t(i)];
-        if (m.home != x.m.home || m.pool != x.m.pool || m.spill != x.m.spill || m.resumable != x.m.resumable || m.maxTries != x.m.maxTries) x.m = m;
+        if (m.home != x.m.home || m.pool != x.m.pool || m.spill != x.m.spill || m.resumable != x.m.resumable
+            || m.maxTries != x.m.maxTries)
+            x.m = m;
     } else {
         fail(x, 503, "its mapping is no longer configured", now);
         return false;
@@ -410,7 +454,8 @@
     auto x = get(id, a);
     if (!x) return false;
     auto i = n_.servers().find(x->server);
-    auto ok = n_.fresh(now) && now < x->due && i != n_.servers().end() && (i->second.l.state == UP || broken.ignoreLeaving) && !n_.word().emptied(i->second.l.district);
+    auto ok = n_.fresh(now) && now < x->due && i != n_.servers().end()
+        && (i->second.l.state == UP || broken.ignoreLeaving) && !n_.word().emptied(i->second.l.district);
     auto k = ru_.byName(x->m.name);
     if (ok && (k < 0 || (ru_.ms[std::size_t(k)].home != x->m.home))) ok = false;
     if (ok) {
@@ -427,7 +472,9 @@
         note(*x, fmt::format("+{} us send {} to {}", now - x->born, x->tries, x->server));
         return true;
     }
-    note(*x, fmt::format("+{} us held back: what was known when {} was picked no longer holds", now - x->born, x->server));
+    note(*x,
+        fmt::format(
+            "+{} us held back: what was known when {} was picked no longer holds", now - x->born, x->server));
     ct_.add("held_back_total");
     release(*x);
     x->pm->go(EvLoss{});
@@ -439,7 +486,9 @@
 }
 
 // Reading a long prompt again costs more than reading a short one.
-auto Edge::cost(const Exchange& x) const -> std::int64_t { return broken.noBudget ? 0 : ONE + ONE * x.seq / 4096; }
+auto Edge::cost(const Exchange& x) const -> std::int64_t {
+    return broken.noBudget ? 0 : ONE + ONE * x.seq / 4096;
+}
 
 // A send was lost. `ran`: bytes may have reached a server and it did not deny them.
 auto Edge::again(Exchange& x, bool ran, const Str& why, Us now) -> void {
@@ -453,8 +502,10 @@
     x.ranBefore = x.ranBefore || ran;
     auto no = Str();
     auto status = 502;
-    if (on && !x.m.resumable) no = why + "; it may have run, and a stream that cannot be resumed never runs twice";
-    else if (on && x.headSent && !x.counting) no = why + "; its events cannot be counted, so they cannot be joined";
+    if (on && !x.m.resumable)
+        no = why + "; it may have run, and a stream that cannot be resumed never runs twice";
+    else if (on && x.headSent && !x.counting)
+        no = why + "; its events cannot be counted, so they cannot be joined";
     else if (!x.m.model.empty() && x.moves <= 0) no = why + "; no migration is left";
     else if (x.tries >= x.m.maxTries) no = why + "; MaxTries is reached";
     else if (now >= x.due) no = why + "; its time is over", status = 504;
@@ -506,7 +557,8 @@
     // Slow beside its like: judged against the pool's median.
     auto v = std::vector<double>();
     for (auto& [n, s] : n_.servers())
-        if (auto i = fit_.find(n); i != fit_.end() && s.l.pool == x->m.pool && i->second.first > 0) v.push_back(i->second.first);
+        if (auto i = fit_.find(n); i != fit_.end() && s.l.pool == x->m.pool && i->second.first > 0)
+            v.push_back(i->second.first);
     if (v.size() >= 3) {
         std::nth_element(v.begin(), v.begin() + std::ptrdiff_t(v.size() / 2), v.end());
         if (f.first > 5 * v[v.size() / 2] && t > 200 * MS) hurt(x->server, 0.9, now);
@@ -531,7 +583,8 @@
         auto n = whole(e.id);
         if (n < 0) {
             // Ids that are no numbers cannot be counted, nor joined.
-            if (x->last >= 0) return fail(*x, 502, fmt::format("the event after {} came as {}", x->last, e.id), now);
+            if (x->last >= 0)
+                return fail(*x, 502, fmt::format("the event after {} came as {}", x->last, e.id), now);
             x->counting = false;
             x->moves = 0;
         } else if (x->last >= 0 && n != x->last + 1 && !broken.joinAny) {
@@ -545,14 +598,17 @@
     }
     if (!x->headSent) {
         x->headSent = true;
-        if (x->tries <= 1) x->weights = n_.servers().count(x->server) ? n_.servers().at(x->server).l.weights : "";
+        if (x->tries <= 1)
+            x->weights = n_.servers().count(x->server) ? n_.servers().at(x->server).l.weights : "";
         po_.head(x->id, 200, {{"Content-Type", "text/event-stream"}, {"X-Exchange-Id", x->exid}});
     }
-    if (x->weights.empty() && n_.servers().count(x->server)) x->weights = n_.servers().at(x->server).l.weights;
+    if (x->weights.empty() && n_.servers().count(x->server))
+        x->weights = n_.servers().at(x->server).l.weights;
     x->pm->go(EvBytes{});
     x->seq++;
     if (x->seq > x->m.maxSequence) {
-        if (x->moves > 0) note(*x, fmt::format("+{} us past the maximum sequence length: migrations 0", now - x->born));
+        if (x->moves > 0)
+            note(*x, fmt::format("+{} us past the maximum sequence length: migrations 0", now - x->born));
         x->moves = 0;
         x->events.clear();
     } else if (x->moves > 0) x->events.push_back(e.raw);
@@ -581,7 +637,8 @@
         x->everRan = x->ranBefore;
         return again(*x, false, fmt::format("denied by the server with {}", status), now);
     }
-    if (x->headSent) return again(*x, true, fmt::format("the resumed stream was not one (status {})", status), now);
+    if (x->headSent)
+        return again(*x, true, fmt::format("the resumed stream was not one (status {})", status), now);
     if (x->m.stream && status == 200) return again(*x, true, "not a stream", now);
     auto& f = fit_[x->server];
     if (status >= 500) hurt(x->server, 0.7, now);
@@ -612,12 +669,17 @@
         x.a++;
     }
     if (x.headSent) {
-        po_.part(x.id, fmt::format("event: failed\ndata: {}\n\n", bodyOf({{"error", jsQuote(why)}, {"lastEventId", fmt::to_string(x.last)}, {"retryAfter", "1"}})));
+        po_.part(x.id,
+            fmt::format("event: failed\ndata: {}\n\n",
+                bodyOf({{"error", jsQuote(why)}, {"lastEventId", fmt::to_string(x.last)},
+                    {"retryAfter", "1"}})));
         po_.end(x.id, broken.cutLooksWhole);
     } else {
         auto h = Headers{{"Content-Type", "application/json"}, {"Retry-After", "1"}};
         if (!x.everRan) h.emplace_back("X-Not-Executed", "true");
-        po_.reply(x.id, status, h, bodyOf({{"error", jsQuote(why)}, {"executed", x.everRan ? "\"unknown\"" : "false"}, {"exchange", jsQuote(x.exid)}}));
+        po_.reply(x.id, status, h,
+            bodyOf({{"error", jsQuote(why)}, {"executed", x.everRan ? "\"unknown\"" : "false"},
+                {"exchange", jsQuote(x.exid)}}));
     }
     tally(x, x.headSent ? "cut" : x.everRan ? "failed" : "denied");
     finish(x, "failed: " + why, now);
@@ -635,7 +697,9 @@
     note(x, fmt::format("+{} us {}", now - x.born, how));
     auto t = Str();
     for (auto& l : x.trace) t += (t.empty() ? "" : ",") + jsQuote(l);
-    past_.push_back({++decision_, x.id, bodyOf({{"seq", fmt::to_string(decision_)}, {"exchange", jsQuote(x.exid)}, {"mapping", jsQuote(x.m.name)}, {"end", jsQuote(how)}, {"steps", "[" + t + "]"}})});
+    past_.push_back({++decision_, x.id,
+        bodyOf({{"seq", fmt::to_string(decision_)}, {"exchange", jsQuote(x.exid)},
+            {"mapping", jsQuote(x.m.name)}, {"end", jsQuote(how)}, {"steps", "[" + t + "]"}})});
     if (past_.size() > 1024) past_.erase(past_.begin(), past_.begin() + 512);
     gone_.push_back(x.id);
 }
@@ -660,7 +724,9 @@
     for (auto& [id, x] : xs_)
         if (x.phase() == Phase::Queued && x.queuedTill) q.push_back(&x);
     if (q.empty()) return;
-    std::stable_sort(q.begin(), q.end(), [](auto a, auto b) { return a->m.urgency != b->m.urgency ? a->m.urgency > b->m.urgency : a->due < b->due; });
+    std::stable_sort(q.begin(), q.end(), [](auto a, auto b) {
+        return a->m.urgency != b->m.urgency ? a->m.urgency > b->m.urgency : a->due < b->due;
+    });
     auto full = std::map<Str, int>();
     for (auto x : q) {
         if (now >= x->queuedTill) {
@@ -706,7 +772,9 @@
             if (now - k.at >= ALIVE || !k.r.want || k.r.credit >= 2 * ONE || credit_ <= 8 * ONE) continue;
             auto mine = true;
             for (auto& [o, q] : n_.rows())
-                if (o != n && now - q.at < ALIVE && q.r.credit > 8 * ONE && rank(n, o) > rank(n, n_.me().node)) mine = false;
+                if (o != n && now - q.at < ALIVE && q.r.credit > 8 * ONE
+                    && rank(n, o) > rank(n, n_.me().node))
+                    mine = false;
             if (!mine) continue;
             credit_ -= 2 * ONE;
             n_.grant(n, 2 * ONE, now);
@@ -732,8 +800,11 @@
     auto t = Str();
     if (steps)
         for (auto& l : x.trace) t += (t.empty() ? "" : ",") + jsQuote(l);
-    return bodyOf({{"id", fmt::to_string(x.id)}, {"exchange", jsQuote(x.exid)}, {"mapping", jsQuote(x.m.name)}, {"phase", jsQuote(phaseName(x.phase()))}, {"server", jsQuote(x.server)}, {"ageUs", fmt::to_string(now - x.born)},
-        {"sends", fmt::to_string(x.tries)}, {"migrationsLeft", fmt::to_string(x.moves)}, {"lastEventId", fmt::to_string(x.last)}, {"steps", "[" + t + "]"}});
+    return bodyOf({{"id", fmt::to_string(x.id)}, {"exchange", jsQuote(x.exid)},
+        {"mapping", jsQuote(x.m.name)}, {"phase", jsQuote(phaseName(x.phase()))},
+        {"server", jsQuote(x.server)}, {"ageUs", fmt::to_string(now - x.born)},
+        {"sends", fmt::to_string(x.tries)}, {"migrationsLeft", fmt::to_string(x.moves)},
+        {"lastEventId", fmt::to_string(x.last)}, {"steps", "[" + t + "]"}});
 }
 auto Edge::liveText(Us now) const -> Str {
     auto o = Str();
--- a/src/edge.hpp
+++ b/src/edge.hpp
@@ -88,10 +88,10 @@
     bool ranBefore = false;  // an earlier send may have run
     bool everRan = false;    // of any send, unless the server denied it
     bool headSent = false, counted = true, begun = false;
-    std::int64_t last = -1;  // id of the newest event delivered; -1: none was
-    bool counting = true;    // ids so far were whole numbers rising by one
-    std::int64_t seq = 0;    // prompt and events so far, in tokens as estimated here
-    std::vector<Str> events; // delivered, kept while the exchange may still move
+    std::int64_t last = -1;   // id of the newest event delivered; -1: none was
+    bool counting = true;     // ids so far were whole numbers rising by one
+    std::int64_t seq = 0;     // prompt and events so far, in tokens as estimated here
+    std::vector<Str> events;  // delivered, kept while the exchange may still move
     Str server, weights;
     std::vector<Str> tried;
     std::vector<Str> trace;
@@ -107,7 +107,8 @@
     Edge(Node& n, EdgePort& p, Counters& c, std::uint64_t seed);
 
     /// A sender's request, whole. Gives its number.
-    auto accept(const Str& method, const Str& path, const Headers& h, const Str& body, Us now) -> std::int64_t;
+    auto accept(const Str& method, const Str& path, const Headers& h, const Str& body, Us now)
+        -> std::int64_t;
     /// The sender reads slower than the server writes; not the server's silence.
     auto waiting(std::int64_t x, int a, Us now) -> void;
     /// The sender has gone.
@@ -138,7 +139,8 @@
     auto decisions(std::int64_t after) const -> Str;
 
     struct Broken {
-        bool resendAny = false, joinAny = false, ignoreHome = false, noBudget = false, noRamp = false, cutLooksWhole = false, ignoreLeaving = false, pickRandom = false, pickLeast = false;
+        bool resendAny = false, joinAny = false, ignoreHome = false, noBudget = false, noRamp = false,
+             cutLooksWhole = false, ignoreLeaving = false, pickRandom = false, pickLeast = false;
     };
     Broken broken;
 
--- a/src/fake_platform.cpp
+++ b/src/fake_platform.cpp
@@ -59,7 +59,8 @@
         auto r = Res(http::status::ok, 11);
         auto p = Str(q.target());
         auto k = p.find('/', 1);
-        auto op1 = p.substr(1, k == Str::npos ? Str::npos : k - 1), nm = k == Str::npos ? "" : p.substr(k + 1);
+        auto op1 = p.substr(1, k == Str::npos ? Str::npos : k - 1),
+             nm = k == Str::npos ? "" : p.substr(k + 1);
         auto v = find(nm);
         auto& al = d.GetAllocator();
         auto state = [&](const char* x) {
@@ -75,7 +76,8 @@
             v->AddMember("incarnation", Val(i), al);
         } else if (op1 != "status") r.result(http::status::not_found);
         auto held = r.result_int() == 200 && op1 != "status" ? co_await tell() : true;
-        r.body() = bodyOf({{"told", fmt::to_string(told)}, {"failed", fmt::to_string(failed)}, {"held", held ? "true" : "false"}});
+        r.body() = bodyOf({{"told", fmt::to_string(told)}, {"failed", fmt::to_string(failed)},
+            {"held", held ? "true" : "false"}});
         r.keep_alive(false);
         r.prepare_payload();
         co_await http::async_write(s, r, quiet);
@@ -89,8 +91,10 @@
     auto p = std::make_unique<FakePlatform>();
     p->op = o;
     auto t = fileRead(o.servers);
-    if (!t || !jsParse(*t, p->d) || !p->d.IsObject() || !p->d.HasMember("servers") || !p->d["servers"].IsArray()) {
-        fmt::print(stderr, "duneturn fake-platform: --servers: {}\n", t ? "wants {\"servers\":[…]}" : t.error());
+    if (!t || !jsParse(*t, p->d) || !p->d.IsObject() || !p->d.HasMember("servers")
+        || !p->d["servers"].IsArray()) {
+        fmt::print(
+            stderr, "duneturn fake-platform: --servers: {}\n", t ? "wants {\"servers\":[…]}" : t.error());
         return 2;
     }
     if (o.nodes.empty()) {
@@ -108,22 +112,28 @@
             fmt::print(stderr, "duneturn fake-platform: cannot listen on {}: {}\n", o.listen, e.what());
             return 1;
         }
-        asio::co_spawn(p->io, [&]() -> awaitable<void> {
+        asio::co_spawn(
+            p->io,
+            [&]() -> awaitable<void> {
+                while (true) {
+                    auto [ec, sk] = co_await ac.async_accept(quiet);
+                    if (ec) co_return;
+                    asio::co_spawn(p->io, p->session(std::move(sk)), asio::detached);
+                }
+            },
+            asio::detached);
+    }
+    asio::co_spawn(
+        p->io,
+        [&]() -> awaitable<void> {
+            auto tm = asio::steady_timer(p->io);
             while (true) {
-                auto [ec, sk] = co_await ac.async_accept(quiet);
-                if (ec) co_return;
-                asio::co_spawn(p->io, p->session(std::move(sk)), asio::detached);
+                co_await p->tell();
+                tm.expires_after(std::chrono::microseconds(o.every));
+                co_await tm.async_wait(quiet);
             }
-        }, asio::detached);
-    }
-    asio::co_spawn(p->io, [&]() -> awaitable<void> {
-        auto tm = asio::steady_timer(p->io);
-        while (true) {
-            co_await p->tell();
-            tm.expires_after(std::chrono::microseconds(o.every));
-            co_await tm.async_wait(quiet);
-        }
-    }, asio::detached);
+        },
+        asio::detached);
     auto sig = asio::signal_set(p->io, SIGTERM, SIGINT);
     sig.async_wait([&](beast::error_code, int) { p->io.stop(); });
     p->io.run();
--- a/src/fake_sender.cpp
+++ b/src/fake_sender.cpp
@@ -87,7 +87,8 @@
         while (std::int64_t(p.size()) < k.shared * 4) p += "lorem dune turns ";
         p += fmt::format("own {} of {} ", no, op.seed);
         while (std::int64_t(p.size()) < k.prompt * 4) p += "storm cell ";
-        body = bodyOf({{"prompt", jsQuote(p)}, {"tokens", fmt::to_string(k.tokens)}, {"stream", k.stream ? "true" : "false"}});
+        body = bodyOf({{"prompt", jsQuote(p)}, {"tokens", fmt::to_string(k.tokens)},
+            {"stream", k.stream ? "true" : "false"}});
     }
     auto born = bootNow();
     k.t.sent++;
@@ -155,7 +156,9 @@
                     }
                     if (e.done()) {
                         done = true;
-                        if (last != k.tokens) wrong = true, broke(k, fmt::format("complete after {} of {} events", last, k.tokens));
+                        if (last != k.tokens)
+                            wrong = true,
+                            broke(k, fmt::format("complete after {} of {} events", last, k.tokens));
                         continue;
                     }
                     auto d = Doc();
@@ -167,7 +170,8 @@
                     if (w.empty())
                         for (auto& c : weights)
                             if (x == fakePiece(body, c, n)) w = c;
-                    if (w.empty() || x != fakePiece(body, w, n)) wrong = true, broke(k, fmt::format("event {} is not what a server says to this", n));
+                    if (w.empty() || x != fakePiece(body, w, n))
+                        wrong = true, broke(k, fmt::format("event {} is not what a server says to this", n));
                 }
             }
             if (ec) break;
@@ -188,7 +192,8 @@
         if (st == 200) {
             auto d = Doc();
             auto x = jsParse(text, d) ? jsStr(d, "reply") : Str();
-            auto ok = std::any_of(weights.begin(), weights.end(), [&](auto& c) { return x == fakeWhole(k.plain ? body + path : body, c); });
+            auto ok = std::any_of(weights.begin(), weights.end(),
+                [&](auto& c) { return x == fakeWhole(k.plain ? body + path : body, c); });
             if (!ok) broke(k, "a reply that no server gave to this");
             else {
                 k.t.whole++;
@@ -229,9 +234,14 @@
 auto FakeSender::report() -> Str {
     auto o = Str(), r = Str();
     for (auto& k : ks)
-        o += (o.empty() ? "" : ",") + jsQuote(k.name) + ":" + bodyOf({{"sent", fmt::to_string(k.t.sent)}, {"whole", fmt::to_string(k.t.whole)}, {"denied", fmt::to_string(k.t.denied)}, {"failed", fmt::to_string(k.t.failed)},
-            {"cut", fmt::to_string(k.t.cut)}, {"broken", fmt::to_string(k.t.broken)}, {"cameBack", fmt::to_string(k.t.again)}, {"p50Us", fmt::to_string(quantile(k.t.took, .5))}, {"p99Us", fmt::to_string(quantile(k.t.took, .99))},
-            {"first50Us", fmt::to_string(quantile(k.t.first, .5))}, {"first99Us", fmt::to_string(quantile(k.t.first, .99))}});
+        o += (o.empty() ? "" : ",") + jsQuote(k.name) + ":"
+            + bodyOf({{"sent", fmt::to_string(k.t.sent)}, {"whole", fmt::to_string(k.t.whole)},
+                {"denied", fmt::to_string(k.t.denied)}, {"failed", fmt::to_string(k.t.failed)},
+                {"cut", fmt::to_string(k.t.cut)}, {"broken", fmt::to_string(k.t.broken)},
+                {"cameBack", fmt::to_string(k.t.again)}, {"p50Us", fmt::to_string(quantile(k.t.took, .5))},
+                {"p99Us", fmt::to_string(quantile(k.t.took, .99))},
+                {"first50Us", fmt::to_string(quantile(k.t.first, .5))},
+                {"first99Us", fmt::to_string(quantile(k.t.first, .99))}});
     for (auto& s : rulesBroken) r += (r.empty() ? "" : ",") + jsQuote(s);
     return bodyOf({{"kinds", "{" + o + "}"}, {"rulesBroken", "[" + r + "]"}});
 }
@@ -263,15 +273,20 @@
     auto end = bootNow() + o.duration;
     for (auto& k : f->ks) asio::co_spawn(f->io, f->drive(k, end), asio::detached);
     auto sig = asio::signal_set(f->io, SIGTERM, SIGINT);
-    sig.async_wait([&](beast::error_code ec, int) { if (!ec) f->io.stop(); });
-    asio::co_spawn(f->io, [&]() -> awaitable<void> {
-        auto tm = asio::steady_timer(f->io);
-        while (bootNow() < end || (f->live > 0 && bootNow() < end + 90 * SEC)) {
-            tm.expires_after(std::chrono::milliseconds(100));
-            co_await tm.async_wait(quiet);
-        }
-        f->io.stop();
-    }, asio::detached);
+    sig.async_wait([&](beast::error_code ec, int) {
+        if (!ec) f->io.stop();
+    });
+    asio::co_spawn(
+        f->io,
+        [&]() -> awaitable<void> {
+            auto tm = asio::steady_timer(f->io);
+            while (bootNow() < end || (f->live > 0 && bootNow() < end + 90 * SEC)) {
+                tm.expires_after(std::chrono::milliseconds(100));
+                co_await tm.async_wait(quiet);
+            }
+            f->io.stop();
+        },
+        asio::detached);
     f->io.run();
     auto r = f->report();
     auto rd = Doc();
--- a/src/fake_server.cpp
+++ b/src/fake_server.cpp
@@ -15,7 +15,9 @@
 using asio::use_awaitable;
 constexpr auto quiet = asio::as_tuple(asio::use_awaitable);
 
-auto fakePiece(View body, View w, std::int64_t i) -> Str { return fmt::format("{:016x}", hash64(body, hash64(w) + std::uint64_t(i))); }
+auto fakePiece(View body, View w, std::int64_t i) -> Str {
+    return fmt::format("{:016x}", hash64(body, hash64(w) + std::uint64_t(i)));
+}
 auto fakeWhole(View body, View w) -> Str { return fakePiece(body, w, 0); }
 
 auto dayKind(const Val& v) -> DayKind {
@@ -70,7 +72,7 @@
     asio::io_context io{1};
     int prefill = 0, decode = 0, denied = 0;
     Us born = bootNow();
-    Str mode;              // the fault switched on
+    Str mode;  // the fault switched on
     std::int64_t faults = 0, after = 0, ran = 0;
     FakeCache cache;
     std::ofstream log;
@@ -104,7 +106,10 @@
     };
     if (path == "/load") {
         if (mode == "dark") co_await nap(3600 * SEC);
-        auto load = bodyOf({{"prefill", fmt::to_string(prefill)}, {"decode", fmt::to_string(decode)}, {"slots", fmt::to_string(op.slots)}, {"boot", fmt::to_string(born)}, {"upUs", fmt::to_string(bootNow() - born)}, {"cold", cold() ? "true" : "false"}, {"weights", jsQuote(op.weights)}});
+        auto load = bodyOf({{"prefill", fmt::to_string(prefill)}, {"decode", fmt::to_string(decode)},
+            {"slots", fmt::to_string(op.slots)}, {"boot", fmt::to_string(born)},
+            {"upUs", fmt::to_string(bootNow() - born)}, {"cold", cold() ? "true" : "false"},
+            {"weights", jsQuote(op.weights)}});
         co_await send(200, load, none);
         co_return;
     }
@@ -149,7 +154,8 @@
     if (!model) {
         co_await nap(op.plainUs);
         if (md == "cut") {
-            auto raw = Str("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 100\r\n\r\n{\"re");
+            auto raw =
+                Str("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 100\r\n\r\n{\"re");
             co_await asio::async_write(s, asio::buffer(raw), quiet);
             co_return;
         }
@@ -186,7 +192,8 @@
         if (md == "cut" && i > from + after) co_return;
         if (md == "stall" && i > from + after) co_await nap(3600 * SEC);
         auto k = md == "skip" && i > from + after ? i + 1 : i;
-        auto e = fmt::format("id: {}\ndata: {}\n\n", k, bodyOf({{"text", jsQuote(fakePiece(q.body(), op.weights, k))}}));
+        auto e = fmt::format(
+            "id: {}\ndata: {}\n\n", k, bodyOf({{"text", jsQuote(fakePiece(q.body(), op.weights, k))}}));
         std::tie(ec, n) = co_await asio::async_write(s, http::make_chunk(asio::buffer(e)), quiet);
     }
     if (ec) co_return;
@@ -221,13 +228,16 @@
     }
     auto sig = asio::signal_set(io, SIGTERM, SIGINT);
     sig.async_wait([&](beast::error_code, int) { io.stop(); });
-    asio::co_spawn(io, [&]() -> awaitable<void> {
-        while (true) {
-            auto [ec, sk] = co_await ac.async_accept(quiet);
-            if (ec) co_return;
-            asio::co_spawn(io, session(std::move(sk)), asio::detached);
-        }
-    }, asio::detached);
+    asio::co_spawn(
+        io,
+        [&]() -> awaitable<void> {
+            while (true) {
+                auto [ec, sk] = co_await ac.async_accept(quiet);
+                if (ec) co_return;
+                asio::co_spawn(io, session(std::move(sk)), asio::detached);
+            }
+        },
+        asio::detached);
     io.run();
     return 0;
 }
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -41,32 +41,36 @@
     return {asio::ip::make_address(a->ip), a->port};
 }
 
-auto call(const Str& addr, const Str& method, const Str& path, const Str& body, const Headers& h, Us limit) -> tl::expected<Res, CallError> {
+auto call(const Str& addr, const Str& method, const Str& path, const Str& body, const Headers& h, Us limit)
+    -> tl::expected<Res, CallError> {
     auto a = addrParse(addr);
     if (!a) return tl::make_unexpected(CallError{addr + ": " + a.error()});
     auto io = asio::io_context();
     auto s = beast::tcp_stream(io);
     auto out = tl::expected<Res, CallError>(tl::make_unexpected(CallError{"no reply from " + addr}));
-    asio::co_spawn(io, [&]() -> asio::awaitable<void> {
-        try {
-            s.expires_after(std::chrono::microseconds(limit));
-            co_await s.async_connect(endpoint(addr), asio::use_awaitable);
-            auto q = Req(http::string_to_verb(method), path, 11);
-            q.set(http::field::host, addr);
-            for (auto& [k, v] : h) q.set(k, v);
-            if (!body.empty()) q.set(http::field::content_type, "application/json");
-            q.body() = body;
-            q.prepare_payload();
-            co_await http::async_write(s, q, asio::use_awaitable);
-            auto b = beast::flat_buffer();
-            auto p = http::response_parser<http::string_body>();
-            p.body_limit(64u << 20);
-            co_await http::async_read(s, b, p, asio::use_awaitable);
-            out = p.release();
-        } catch (const std::exception& e) {
-            out = tl::make_unexpected(CallError{fmt::format("{}: {}", addr, e.what())});
-        }
-    }, asio::detached);
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            try {
+                s.expires_after(std::chrono::microseconds(limit));
+                co_await s.async_connect(endpoint(addr), asio::use_awaitable);
+                auto q = Req(http::string_to_verb(method), path, 11);
+                q.set(http::field::host, addr);
+                for (auto& [k, v] : h) q.set(k, v);
+                if (!body.empty()) q.set(http::field::content_type, "application/json");
+                q.body() = body;
+                q.prepare_payload();
+                co_await http::async_write(s, q, asio::use_awaitable);
+                auto b = beast::flat_buffer();
+                auto p = http::response_parser<http::string_body>();
+                p.body_limit(64u << 20);
+                co_await http::async_read(s, b, p, asio::use_awaitable);
+                out = p.release();
+            } catch (const std::exception& e) {
+                out = tl::make_unexpected(CallError{fmt::format("{}: {}", addr, e.what())});
+            }
+        },
+        asio::detached);
     io.run();
     return out;
 }
--- a/src/http.hpp
+++ b/src/http.hpp
@@ -29,7 +29,8 @@
     Str why;
 };
 /// One blocking call of another process, for the command line.
-auto call(const Str& addr, const Str& method, const Str& path, const Str& body, const Headers& h, Us limit) -> tl::expected<Res, CallError>;
+auto call(const Str& addr, const Str& method, const Str& path, const Str& body, const Headers& h, Us limit)
+    -> tl::expected<Res, CallError>;
 
 auto endpoint(const Str& addr) -> tcp::endpoint;
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -86,15 +86,18 @@
 
 static auto daemonMain(bool core) -> int {
     auto over = std::map<Str, Str>();
-    for (auto k : {"node", "district", "region", "peer", "sender", "operator", "seeds", "roster", "seats", "data"}) {
+    for (auto k :
+        {"node", "district", "region", "peer", "sender", "operator", "seeds", "roster", "seats", "data"}) {
         auto i = gflags::CommandLineFlagInfo();
         if (gflags::GetCommandLineFlagInfo(k, &i) && !i.is_default) over[k] = i.current_value;
     }
     auto s = settingsRead(FLAGS_settings, over);
     auto fs = s ? std::vector<Fault>() : s.error().faults;
     if (s && core && s->data.empty()) fs.push_back({"/data", "missing: a core wants a data folder"});
-    if (s && core && s->seats.empty()) fs.push_back({"/seats", "missing: a core wants the names of the core nodes"});
-    if (s && core && s->roster.empty()) fs.push_back({"/roster", "missing: a core wants the names of the nodes"});
+    if (s && core && s->seats.empty())
+        fs.push_back({"/seats", "missing: a core wants the names of the core nodes"});
+    if (s && core && s->roster.empty())
+        fs.push_back({"/roster", "missing: a core wants the names of the nodes"});
     if (FLAGS_drain_us < 0) fs.push_back({"--drain_us", "wants 0 or more"});
     if (FLAGS_workers < 1 || FLAGS_workers > 64) fs.push_back({"--workers", "wants 1 to 64"});
     for (auto& f : fs) fmt::print(stderr, "duneturn: settings: {}: {}\n", f.path, f.why);
@@ -133,11 +136,15 @@
         auto eq = n.find('=');
         n = n.substr(0, eq);
         auto v = gflags::CommandLineFlagInfo();
-        if (!gflags::GetCommandLineFlagInfo(n.c_str(), &v) && !(n.starts_with("no") && gflags::GetCommandLineFlagInfo(n.c_str() + 2, &v))) {
+        if (!gflags::GetCommandLineFlagInfo(n.c_str(), &v)
+            && !(n.starts_with("no") && gflags::GetCommandLineFlagInfo(n.c_str() + 2, &v))) {
             fmt::print(stderr, "duneturn: unknown flag --{}\n", n);
             return 2;
         }
-        auto val = eq == Str::npos ? (v.type == "bool" ? Str("true") : i + 1 < argc ? Str(argv[i + 1]) : Str()) : a.substr(a.find('=') + 1);
+        auto val = eq == Str::npos ? (v.type == "bool" ? Str("true")
+                           : i + 1 < argc              ? Str(argv[i + 1])
+                                                       : Str())
+                                   : a.substr(a.find('=') + 1);
         if (gflags::SetCommandLineOption(v.name.c_str(), val.c_str()).empty()) {
             fmt::print(stderr, "duneturn: --{}: not a fitting value: {}\n", n, val);
             return 2;
@@ -161,9 +168,14 @@
                 fmt::print(stderr, "duneturn {}: --listen: {}\n", role, a.error());
                 return 2;
             }
-    if (role == "fake-server") return fakeServerRun({FLAGS_listen, FLAGS_name, FLAGS_weights, "model", FLAGS_log, FLAGS_slots, FLAGS_token_us, FLAGS_prefill_us, FLAGS_plain_us, 20 * SEC, FLAGS_cold});
-    if (role == "fake-platform") return fakePlatformRun({FLAGS_servers, FLAGS_listen, commas(FLAGS_nodes), SEC});
-    if (role == "fake-sender") return fakeSenderRun({FLAGS_day, FLAGS_report, commas(FLAGS_nodes), FLAGS_duration_us, FLAGS_scale, FLAGS_seed});
+    if (role == "fake-server")
+        return fakeServerRun({FLAGS_listen, FLAGS_name, FLAGS_weights, "model", FLAGS_log, FLAGS_slots,
+            FLAGS_token_us, FLAGS_prefill_us, FLAGS_plain_us, 20 * SEC, FLAGS_cold});
+    if (role == "fake-platform")
+        return fakePlatformRun({FLAGS_servers, FLAGS_listen, commas(FLAGS_nodes), SEC});
+    if (role == "fake-sender")
+        return fakeSenderRun(
+            {FLAGS_day, FLAGS_report, commas(FLAGS_nodes), FLAGS_duration_us, FLAGS_scale, FLAGS_seed});
     if (role == "simulate") {
         if (FLAGS_runs < 1 || (FLAGS_place != "" && FLAGS_place != "random" && FLAGS_place != "least")) {
             fmt::print(stderr, "duneturn simulate: --runs wants 1 or more, --place random or least\n");
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -4,7 +4,8 @@
 
 namespace dt {
 
-Node::Node(const Settings& s, NodePort& p, Counters& c, std::int64_t boot, std::uint64_t seed) : st_(s), po_(p), ct_(c), rng_{seed} {
+Node::Node(const Settings& s, NodePort& p, Counters& c, std::int64_t boot, std::uint64_t seed)
+    : st_(s), po_(p), ct_(c), rng_{seed} {
     me_.node = s.node;
     me_.boot = boot;
     me_.district = s.district;
@@ -17,7 +18,8 @@
 }
 auto Node::hints(const std::vector<Str>& v) -> void {
     for (auto& a : v)
-        if (std::find(hints_.begin(), hints_.end(), a) == hints_.end() && hints_.size() < 64) hints_.push_back(a);
+        if (std::find(hints_.begin(), hints_.end(), a) == hints_.end() && hints_.size() < 64)
+            hints_.push_back(a);
 }
 Node::~Node() = default;
 
@@ -162,7 +164,8 @@
         // The few that rendezvous hashing names for this node.
         auto ns = aliveNodes(now);
         ns.erase(std::remove(ns.begin(), ns.end(), me_.node), ns.end());
-        std::sort(ns.begin(), ns.end(), [&](auto& a, auto& b) { return rank(me_.node, a) > rank(me_.node, b); });
+        std::sort(
+            ns.begin(), ns.end(), [&](auto& a, auto& b) { return rank(me_.node, a) > rank(me_.node, b); });
         for (auto i = std::size_t(0); i < ns.size() && i < 3; i++) to.insert(ns[i]);
         for (auto& [n, k] : rows_)
             if (voterDisks_.count(k.r.disk)) to.insert(n);
@@ -190,7 +193,9 @@
 
 // ---- freshness
 
-auto Node::holds(const wire::Row& r, std::int64_t gen) const -> bool { return std::pair(r.reign, r.gen) >= std::pair(word_.reign, gen); }
+auto Node::holds(const wire::Row& r, std::int64_t gen) const -> bool {
+    return std::pair(r.reign, r.gen) >= std::pair(word_.reign, gen);
+}
 
 // A majority of voters, or of the roster, was heard within the lease and knew of no
 // newer word than is held here. Every acknowledged order is held by a majority of both.
@@ -431,7 +436,9 @@
     orders_.push_back({id, b, false, now + 6 * SEC, now, false});
     ct_.add("orders_taken_total");
 }
-auto Node::read(std::int64_t id, Us now) -> void { orders_.push_back({id, "", true, now + 4 * SEC, now, false}); }
+auto Node::read(std::int64_t id, Us now) -> void {
+    orders_.push_back({id, "", true, now + 4 * SEC, now, false});
+}
 
 auto Node::replyTo(const Str& back, std::int64_t id, const Outcome& o) -> void {
     auto e = env();
@@ -481,7 +488,8 @@
     jobs_.push_back({id, back, key, false, 0, {}, now + 5 * SEC, {}});
     if (!vt_->propose(1, *p, now)) {
         jobs_.pop_back();
-        replyTo(back, id, {503, bodyOf({{"error", jsQuote("the leader's disk takes nothing; the order was not logged")}})});
+        replyTo(back, id,
+            {503, bodyOf({{"error", jsQuote("the leader's disk takes nothing; the order was not logged")}})});
     }
 }
 
@@ -506,17 +514,25 @@
         auto& j = jobs_[i];
         auto out = Outcome();
         if (j.gen && j.o.status != 200 && !j.read) out = j.o;
-        else if (j.gen && proven(j.p, [&, g = j.gen](auto& r) { return holds(r, g); }, now)) out = j.o;
+        else if (j.gen
+            && proven(
+                j.p, [&, g = j.gen](auto& r) { return holds(r, g); }, now))
+            out = j.o;
         else if (now >= j.due)
-            out = j.read ? Outcome{503, bodyOf({{"error", jsQuote("no majority confirmed the readback in time")}})}
-                         : Outcome{504, bodyOf({{"error", jsQuote("the outcome is not known")}, {"outcome", jsQuote("unknown")}, {"key", jsQuote(j.key)}})};
+            out = j.read
+                ? Outcome{503, bodyOf({{"error", jsQuote("no majority confirmed the readback in time")}})}
+                : Outcome{504,
+                    bodyOf({{"error", jsQuote("the outcome is not known")}, {"outcome", jsQuote("unknown")},
+                        {"key", jsQuote(j.key)}})};
         if (!out.status) {
             i++;
             continue;
         }
         auto k = j;
         jobs_.erase(jobs_.begin() + std::ptrdiff_t(i));
-        ct_.add(k.read ? "readbacks_total" : out.status == 200 ? "orders_acknowledged_total" : "orders_denied_total");
+        ct_.add(k.read              ? "readbacks_total"
+                : out.status == 200 ? "orders_acknowledged_total"
+                                    : "orders_denied_total");
         if (!k.back.empty()) replyTo(k.back, k.id, out);
     }
 }
@@ -524,7 +540,8 @@
 // ---- the platform
 
 auto Node::list(std::int64_t id, const Str& body, Us now) -> void {
-    static constexpr auto LISTING = R"({"type":"object","additionalProperties":false,"required":["servers"],"properties":{
+    static constexpr auto LISTING =
+        R"({"type":"object","additionalProperties":false,"required":["servers"],"properties":{
       "servers":{"type":"array","maxItems":4096,"items":{"type":"object","additionalProperties":false,
         "required":["name","address","region","district","pool"],"properties":{
         "name":{"type":"string","minLength":1,"maxLength":200},"address":{"type":"string"},"region":{"type":"string"},"district":{"type":"string"},
@@ -536,7 +553,8 @@
     if (f.empty()) {
         auto i = 0;
         for (auto& s : d["servers"].GetArray()) {
-            if (auto a = addrParse(jsStr(s, "address")); !a) f.push_back({fmt::format("/servers/{}/address", i), a.error()});
+            if (auto a = addrParse(jsStr(s, "address")); !a)
+                f.push_back({fmt::format("/servers/{}/address", i), a.error()});
             i++;
         }
     }
@@ -653,7 +671,8 @@
             i = servers_.erase(i);
         } else ++i;
     }
-    if (!me_.settled && word_.gen > 0 && counted(now, false) && (counted(now, true) || listTold_ > started_)) {
+    if (!me_.settled && word_.gen > 0 && counted(now, false)
+        && (counted(now, true) || listTold_ > started_)) {
         me_.settled = true;
         logf("settled: generation {} of reign {}", word_.gen, word_.reign);
     }
@@ -666,7 +685,8 @@
     me_.ready = ready(now);
     if (auto f = fresh(now); f != wasFresh_) {
         wasFresh_ = f;
-        logLine(f ? "fresh: a majority was heard within the lease" : "stale: no majority heard within the lease, new exchanges are denied");
+        logLine(f ? "fresh: a majority was heard within the lease"
+                  : "stale: no majority heard within the lease, new exchanges are denied");
         ct_.add(f ? "fresh_gained_total" : "fresh_lost_total");
     }
     if (now >= nextProbe_) {
@@ -681,26 +701,37 @@
     }
     for (auto i = std::size_t(0); i < waits_.size();) {
         auto& w = waits_[i];
-        auto ok = proven(w.p, [&](const wire::Row& r) {
-            return std::all_of(w.ms.begin(), w.ms.end(), [&](auto& m) {
-                return std::any_of(r.marks.begin(), r.marks.end(), [&](auto& x) { return x.server == m.server && x.gen >= m.gen; });
-            });
-        }, now);
+        auto ok = proven(
+            w.p,
+            [&](const wire::Row& r) {
+                return std::all_of(w.ms.begin(), w.ms.end(), [&](auto& m) {
+                    return std::any_of(r.marks.begin(), r.marks.end(),
+                        [&](auto& x) { return x.server == m.server && x.gen >= m.gen; });
+                });
+            },
+            now);
         if (!ok && now < w.due) {
             i++;
             continue;
         }
         auto id = w.id;
         waits_.erase(waits_.begin() + std::ptrdiff_t(i));
-        po_.done(id, ok ? Outcome{200, "{\"held\":true}"} : Outcome{503, errorBody({{"/", "a majority has not confirmed this; tell it to another node"}})});
+        po_.done(id,
+            ok ? Outcome{200, "{\"held\":true}"}
+               : Outcome{
+                   503, errorBody({{"/", "a majority has not confirmed this; tell it to another node"}})});
     }
     for (auto i = std::size_t(0); i < orders_.size();) {
         auto& o = orders_[i];
         if (now >= o.due) {
             auto c = o;
             orders_.erase(orders_.begin() + std::ptrdiff_t(i));
-            po_.done(c.id, c.read ? Outcome{503, bodyOf({{"error", jsQuote("no leader confirmed the readback in time")}})}
-                                  : Outcome{504, bodyOf({{"error", jsQuote("the outcome is not known")}, {"outcome", jsQuote("unknown")}})});
+            po_.done(c.id,
+                c.read
+                    ? Outcome{503, bodyOf({{"error", jsQuote("no leader confirmed the readback in time")}})}
+                    : Outcome{504,
+                        bodyOf({{"error", jsQuote("the outcome is not known")},
+                            {"outcome", jsQuote("unknown")}})});
             continue;
         }
         if (now >= o.next) {
@@ -733,7 +764,8 @@
         if (vt_->leads()) {
             auto of = std::vector<std::pair<Str, Str>>();
             for (auto& [n, k] : rows_)
-                if (now - k.at < ALIVE && !k.r.disk.empty() && !voterDisks_.count(k.r.disk)) of.emplace_back(n, k.r.disk);
+                if (now - k.at < ALIVE && !k.r.disk.empty() && !voterDisks_.count(k.r.disk))
+                    of.emplace_back(n, k.r.disk);
             vt_->offer(of);
         }
         auto un = std::vector<Str>();
@@ -833,7 +865,8 @@
             lost++;
             if (lostSeat.empty()) lostSeat = v.seat;
         } else if (!r->blank && keptSeat.empty()) keptSeat = v.seat;
-        if (std::none_of(vs.begin(), vs.end(), [&](auto& x) { return x.seat == v.seat; })) vs.push_back({v.seat, r->disk});
+        if (std::none_of(vs.begin(), vs.end(), [&](auto& x) { return x.seat == v.seat; }))
+            vs.push_back({v.seat, r->disk});
     }
     auto n = std::size_t(0);
     auto newer = false;
@@ -909,36 +942,63 @@
 auto Node::beliefs(Us now) const -> Str {
     auto ns = Str(), ss = Str();
     auto put = [&](const wire::Row& r, Us age, Us t0) {
-        ns += (ns.empty() ? "" : ",") + bodyOf({{"node", jsQuote(r.node)}, {"boot", fmt::to_string(r.boot)}, {"district", jsQuote(r.district)}, {"region", jsQuote(r.region)},
-            {"peer", jsQuote(r.peer)}, {"sender", jsQuote(r.sender)}, {"operator", jsQuote(r.opr)}, {"alive", age < ALIVE ? "true" : "false"}, {"ageUs", fmt::to_string(age)},
-            {"provenUs", t0 ? fmt::to_string(now - t0) : "null"}, {"reign", fmt::to_string(r.reign)}, {"generation", fmt::to_string(r.gen)}, {"settled", r.settled ? "true" : "false"},
-            {"ready", r.ready ? "true" : "false"}, {"disk", jsQuote(r.disk)}, {"blank", r.blank ? "true" : "false"}, {"leader", r.leader ? "true" : "false"}, {"credit", fmt::to_string(r.credit)}});
+        ns += (ns.empty() ? "" : ",")
+            + bodyOf({{"node", jsQuote(r.node)}, {"boot", fmt::to_string(r.boot)},
+                {"district", jsQuote(r.district)}, {"region", jsQuote(r.region)}, {"peer", jsQuote(r.peer)},
+                {"sender", jsQuote(r.sender)}, {"operator", jsQuote(r.opr)},
+                {"alive", age < ALIVE ? "true" : "false"}, {"ageUs", fmt::to_string(age)},
+                {"provenUs", t0 ? fmt::to_string(now - t0) : "null"}, {"reign", fmt::to_string(r.reign)},
+                {"generation", fmt::to_string(r.gen)}, {"settled", r.settled ? "true" : "false"},
+                {"ready", r.ready ? "true" : "false"}, {"disk", jsQuote(r.disk)},
+                {"blank", r.blank ? "true" : "false"}, {"leader", r.leader ? "true" : "false"},
+                {"credit", fmt::to_string(r.credit)}});
     };
     put(me_, 0, now);
     for (auto& [n, k] : rows_) put(k.r, now - k.at, k.t0);
     for (auto& [n, s] : servers_) {
         auto l = s.seen && now - s.seen < SEEN
-                     ? bodyOf({{"prefill", fmt::to_string(s.d.prefill)}, {"decode", fmt::to_string(s.d.decode)}, {"slots", fmt::to_string(s.d.slots)}, {"dark", s.d.dark ? "true" : "false"}, {"watcher", jsQuote(s.d.watcher)}, {"ageUs", fmt::to_string(now - s.seen)}})
-                     : Str("null");
-        ss += (ss.empty() ? "" : ",") + bodyOf({{"server", jsQuote(n)}, {"address", jsQuote(s.l.address)}, {"region", jsQuote(s.l.region)}, {"district", jsQuote(s.l.district)}, {"pool", jsQuote(s.l.pool)},
-            {"weights", jsQuote(s.l.weights)}, {"state", jsQuote(stateName(s.l.state))}, {"generation", fmt::to_string(s.l.gen)}, {"toldUs", fmt::to_string(now - s.told)}, {"occupancy", l}});
+            ? bodyOf({{"prefill", fmt::to_string(s.d.prefill)}, {"decode", fmt::to_string(s.d.decode)},
+                {"slots", fmt::to_string(s.d.slots)}, {"dark", s.d.dark ? "true" : "false"},
+                {"watcher", jsQuote(s.d.watcher)}, {"ageUs", fmt::to_string(now - s.seen)}})
+            : Str("null");
+        ss += (ss.empty() ? "" : ",")
+            + bodyOf({{"server", jsQuote(n)}, {"address", jsQuote(s.l.address)},
+                {"region", jsQuote(s.l.region)}, {"district", jsQuote(s.l.district)},
+                {"pool", jsQuote(s.l.pool)}, {"weights", jsQuote(s.l.weights)},
+                {"state", jsQuote(stateName(s.l.state))}, {"generation", fmt::to_string(s.l.gen)},
+                {"toldUs", fmt::to_string(now - s.told)}, {"occupancy", l}});
     }
     auto t = tree(now);
     auto tr = Str();
     for (auto& [k, u] : t.up) tr += fmt::format("{}{}:{}", tr.empty() ? "" : ",", jsQuote(k), jsQuote(u));
-    return bodyOf({{"node", jsQuote(me_.node)}, {"reign", fmt::to_string(word_.reign)}, {"generation", fmt::to_string(word_.gen)}, {"configGeneration", fmt::to_string(word_.configGen())},
-        {"wordHash", jsQuote(fmt::format("{:016x}", hash64(word_.text())))}, {"fresh", fresh(now) ? "true" : "false"}, {"leader", jsQuote(leaderNode(now))},
-        {"empties", js(word_.d["empties"])}, {"nodes", "[" + ns + "]"}, {"servers", "[" + ss + "]"}, {"relays", "{" + tr + "}"}});
+    return bodyOf({{"node", jsQuote(me_.node)}, {"reign", fmt::to_string(word_.reign)},
+        {"generation", fmt::to_string(word_.gen)}, {"configGeneration", fmt::to_string(word_.configGen())},
+        {"wordHash", jsQuote(fmt::format("{:016x}", hash64(word_.text())))},
+        {"fresh", fresh(now) ? "true" : "false"}, {"leader", jsQuote(leaderNode(now))},
+        {"empties", js(word_.d["empties"])}, {"nodes", "[" + ns + "]"}, {"servers", "[" + ss + "]"},
+        {"relays", "{" + tr + "}"}});
 }
 
 auto Node::status(Us now) -> Str {
-    return bodyOf({{"node", jsQuote(me_.node)}, {"version", jsQuote(VERSION)}, {"district", jsQuote(me_.district)}, {"region", jsQuote(me_.region)}, {"ready", ready(now) ? "true" : "false"},
-        {"fresh", fresh(now) ? "true" : "false"}, {"settled", me_.settled ? "true" : "false"}, {"leader", jsQuote(leaderNode(now))}, {"reign", fmt::to_string(word_.reign)}, {"generation", fmt::to_string(word_.gen)},
-        {"configGeneration", fmt::to_string(word_.configGen())}, {"nodesAlive", fmt::to_string(aliveNodes(now).size())}, {"roster", fmt::to_string(roster_.size())}, {"servers", fmt::to_string(servers_.size())},
-        {"role", jsQuote(!vt_ ? "edge" : vt_->leads() ? "core, leader" : vt_->blank() ? "core, blank" : "core, follower")}});
+    return bodyOf({{"node", jsQuote(me_.node)}, {"version", jsQuote(VERSION)},
+        {"district", jsQuote(me_.district)}, {"region", jsQuote(me_.region)},
+        {"ready", ready(now) ? "true" : "false"}, {"fresh", fresh(now) ? "true" : "false"},
+        {"settled", me_.settled ? "true" : "false"}, {"leader", jsQuote(leaderNode(now))},
+        {"reign", fmt::to_string(word_.reign)}, {"generation", fmt::to_string(word_.gen)},
+        {"configGeneration", fmt::to_string(word_.configGen())},
+        {"nodesAlive", fmt::to_string(aliveNodes(now).size())}, {"roster", fmt::to_string(roster_.size())},
+        {"servers", fmt::to_string(servers_.size())},
+        {"role",
+            jsQuote(!vt_           ? "edge"
+                    : vt_->leads() ? "core, leader"
+                    : vt_->blank() ? "core, blank"
+                                   : "core, follower")}});
 }
 
-auto Node::planText(Us) const -> Str { return bodyOf({{"generation", fmt::to_string(word_.gen)}, {"plan", js(word_.d["plan"])}, {"empties", js(word_.d["empties"])}}); }
+auto Node::planText(Us) const -> Str {
+    return bodyOf({{"generation", fmt::to_string(word_.gen)}, {"plan", js(word_.d["plan"])},
+        {"empties", js(word_.d["empties"])}});
+}
 
 auto Node::where(const Str& region, const Str& district, Us now) const -> Str {
     auto rg = region.empty() ? me_.region : region;
@@ -951,9 +1011,14 @@
     for (auto& [n, k] : rows_)
         if (now - k.at < ALIVE) see(k.r);
     auto key = rg + "/" + district + fmt::to_string(now / SEC);  // callers are spread
-    std::sort(v.begin(), v.end(), [&](auto& a, auto& b) { return a.first != b.first ? a.first < b.first : rank(key, a.second->node) > rank(key, b.second->node); });
+    std::sort(v.begin(), v.end(), [&](auto& a, auto& b) {
+        return a.first != b.first ? a.first < b.first : rank(key, a.second->node) > rank(key, b.second->node);
+    });
     auto o = Str();
-    for (auto& [d, r] : v) o += (o.empty() ? "" : ",") + bodyOf({{"node", jsQuote(r->node)}, {"address", jsQuote(r->sender)}, {"region", jsQuote(r->region)}, {"district", jsQuote(r->district)}});
+    for (auto& [d, r] : v)
+        o += (o.empty() ? "" : ",")
+            + bodyOf({{"node", jsQuote(r->node)}, {"address", jsQuote(r->sender)},
+                {"region", jsQuote(r->region)}, {"district", jsQuote(r->district)}});
     return "{\"nodes\":[" + o + "]}";
 }
 
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -7,14 +7,14 @@
 
 namespace dt {
 
-constexpr Us BEAT = 200 * MS;        // how often a node speaks of itself
-constexpr Us LEASE = 2 * SEC;        // how old the proof may be that the newest word is held
-constexpr Us ALIVE = 1500 * MS;      // silence after which a node is thought gone
-constexpr Us FORGET = 30 * SEC;      // silence after which a node's row is dropped
-constexpr Us LISTED = 15 * SEC;      // a listing not told again for this long lapses
-constexpr Us MARKED = 60 * SEC;      // a leaving mark not told again for this long lapses
+constexpr Us BEAT = 200 * MS;         // how often a node speaks of itself
+constexpr Us LEASE = 2 * SEC;         // how old the proof may be that the newest word is held
+constexpr Us ALIVE = 1500 * MS;       // silence after which a node is thought gone
+constexpr Us FORGET = 30 * SEC;       // silence after which a node's row is dropped
+constexpr Us LISTED = 15 * SEC;       // a listing not told again for this long lapses
+constexpr Us MARKED = 60 * SEC;       // a leaving mark not told again for this long lapses
 constexpr std::int64_t REIGN = 1024;  // a reign's number is its count times this, plus who began it
-constexpr Us SEEN = 3 * SEC;         // a load report older than this is not believed
+constexpr Us SEEN = 3 * SEC;          // a load report older than this is not believed
 
 enum State { UP = 0, LEAVING = 1, GONE = 2 };
 
@@ -38,8 +38,8 @@
 
 struct Server {
     wire::Listing l;
-    Us told = 0;  // when the platform last told of it, as far as known here
-    Us first = 0; // when this life of it was first heard of
+    Us told = 0;   // when the platform last told of it, as far as known here
+    Us first = 0;  // when this life of it was first heard of
     wire::Load d;
     Us seen = 0;  // when the load was read; 0 if never
     int misses = 0;
@@ -174,7 +174,8 @@
     std::vector<Wait> waits_;
     std::map<Str, std::int64_t> grants_;
     std::int64_t grantSeq_ = 0, jobId_ = 0;
-    Us nextBeat_ = 0, nextProbe_ = 0, pullAt_ = 0, aloneSince_ = 0, now_ = 0, started_ = 0, wall_ = 0, firedAt_ = 0, listTold_ = 0;
+    Us nextBeat_ = 0, nextProbe_ = 0, pullAt_ = 0, aloneSince_ = 0, now_ = 0, started_ = 0, wall_ = 0,
+       firedAt_ = 0, listTold_ = 0;
     std::vector<Str> hints_, booked_;
     Us bookAt_ = 0;
     std::size_t seed_ = 0;
--- a/src/shared.cpp
+++ b/src/shared.cpp
@@ -28,7 +28,8 @@
     auto s = time_t(t / SEC);
     tm m{};
     gmtime_r(&s, &m);
-    return fmt::format("{:04}-{:02}-{:02}T{:02}:{:02}:{:02}Z", m.tm_year + 1900, m.tm_mon + 1, m.tm_mday, m.tm_hour, m.tm_min, m.tm_sec);
+    return fmt::format("{:04}-{:02}-{:02}T{:02}:{:02}:{:02}Z", m.tm_year + 1900, m.tm_mon + 1, m.tm_mday,
+        m.tm_hour, m.tm_min, m.tm_sec);
 }
 
 auto wallParse(const Str& s) -> Us {
@@ -38,7 +39,9 @@
     return Us(timegm(&m)) * SEC;
 }
 
-auto hash64(View s, std::uint64_t seed) -> std::uint64_t { return XXH3_64bits_withSeed(s.data(), s.size(), seed); }
+auto hash64(View s, std::uint64_t seed) -> std::uint64_t {
+    return XXH3_64bits_withSeed(s.data(), s.size(), seed);
+}
 auto rank(View key, View name) -> std::uint64_t { return hash64(name, hash64(key)); }
 
 auto Rng::next() -> std::uint64_t {
@@ -63,7 +66,8 @@
     auto last = Str();
     for (auto& [n, v] : c) {
         auto b = n.substr(0, n.find('{'));
-        if (b != last) o += fmt::format("# TYPE duneturn_{} {}\n", b, b.ends_with("_total") ? "counter" : "gauge");
+        if (b != last)
+            o += fmt::format("# TYPE duneturn_{} {}\n", b, b.ends_with("_total") ? "counter" : "gauge");
         last = b;
         o += fmt::format("duneturn_{} {}\n", n, v);
     }
@@ -138,8 +142,9 @@
             if (ch == '\\') i++;
             else if (ch == '"') q = false;
         } else if (ch == '"') q = true;
-        else if (ch == '{' || ch == '[') { if (++n > 64) return false; }
-        else if (ch == '}' || ch == ']') n--;
+        else if (ch == '{' || ch == '[') {
+            if (++n > 64) return false;
+        } else if (ch == '}' || ch == ']') n--;
     }
     d.Parse<rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag>(s.data(), s.size());
     return !d.HasParseError();
@@ -196,7 +201,8 @@
     if (!v.Accept(sv)) {
         auto kw = sv.GetInvalidSchemaKeyword();
         auto lim = kw ? at(sc, kw) : nullptr;
-        out.push_back({path.empty() ? "/" : path, fmt::format("breaks \"{}\"{}", kw ? kw : "schema", lim ? ": " + js(*lim) : "")});
+        out.push_back({path.empty() ? "/" : path,
+            fmt::format("breaks \"{}\"{}", kw ? kw : "schema", lim ? ": " + js(*lim) : "")});
     }
 }
 
@@ -231,7 +237,8 @@
     auto ec = boost::system::error_code();
     boost::asio::ip::make_address(h, ec);
     if (ec) return tl::make_unexpected(Str("wants an IP by number"));
-    if (p.empty() || p.size() > 5 || p.find_first_not_of("0123456789") != Str::npos || std::stoi(p) > 65535 || std::stoi(p) < 1)
+    if (p.empty() || p.size() > 5 || p.find_first_not_of("0123456789") != Str::npos || std::stoi(p) > 65535
+        || std::stoi(p) < 1)
         return tl::make_unexpected(Str("wants a port from 1 to 65535"));
     return Addr{h, std::uint16_t(std::stoi(p))};
 }
@@ -251,7 +258,11 @@
     if (!file.empty()) {
         auto s = fileRead(file);
         if (!s) return tl::make_unexpected(SettingsError{{{"--settings", s.error()}}});
-        if (!jsParse(*s, d)) return tl::make_unexpected(SettingsError{{{"--settings", fmt::format("{}: not JSON: {} at byte {}", file, d.HasParseError() ? rapidjson::GetParseError_En(d.GetParseError()) : "nested too deep", d.GetErrorOffset())}}});
+        if (!jsParse(*s, d))
+            return tl::make_unexpected(SettingsError{{{"--settings",
+                fmt::format("{}: not JSON: {} at byte {}", file,
+                    d.HasParseError() ? rapidjson::GetParseError_En(d.GetParseError()) : "nested too deep",
+                    d.GetErrorOffset())}}});
         if (!d.IsObject()) return tl::make_unexpected(SettingsError{{{"--settings", "wants a JSON object"}}});
     }
     auto& al = d.GetAllocator();
@@ -286,9 +297,12 @@
     s.roster = jsList(d, "roster");
     s.seats = jsList(d, "seats");
     s.file = file;
-    auto has = [](const std::vector<Str>& v, const Str& x) { return std::find(v.begin(), v.end(), x) != v.end(); };
+    auto has = [](const std::vector<Str>& v, const Str& x) {
+        return std::find(v.begin(), v.end(), x) != v.end();
+    };
     for (auto& x : s.seats)
-        if (!s.roster.empty() && !has(s.roster, x)) er.faults.push_back({"/seats", x + " is not on the roster"});
+        if (!s.roster.empty() && !has(s.roster, x))
+            er.faults.push_back({"/seats", x + " is not on the roster"});
     if (!er.faults.empty()) return tl::make_unexpected(er);
     return s;
 }
@@ -300,12 +314,17 @@
 namespace dt {
 
 TEST(Settings, everyFaultIsNamed) {
-    auto s = settingsRead("", {{"node", "a b"}, {"peer", "host:1"}, {"sender", "127.0.0.1:99999"}, {"seeds", "127.0.0.1:1,x"}, {"colour", "red"}});
+    auto s = settingsRead("",
+        {{"node", "a b"}, {"peer", "host:1"}, {"sender", "127.0.0.1:99999"}, {"seeds", "127.0.0.1:1,x"},
+            {"colour", "red"}});
     CHECK(!s);
     auto all = Str();
     for (auto& f : s.error().faults) all += f.path + "\n";
-    for (auto p : {"/node", "/peer", "/sender", "/seeds/1", "/colour", "/operator", "/district", "/region"}) CHECK(all.find(p) != Str::npos);
-    auto ok = settingsRead("", {{"node", "a"}, {"peer", "127.0.0.1:1"}, {"sender", "[::1]:2"}, {"operator", "127.0.0.1:3"}, {"seeds", "127.0.0.1:1"}, {"district", "d"}, {"region", "r"}});
+    for (auto p : {"/node", "/peer", "/sender", "/seeds/1", "/colour", "/operator", "/district", "/region"})
+        CHECK(all.find(p) != Str::npos);
+    auto ok = settingsRead("",
+        {{"node", "a"}, {"peer", "127.0.0.1:1"}, {"sender", "[::1]:2"}, {"operator", "127.0.0.1:3"},
+            {"seeds", "127.0.0.1:1"}, {"district", "d"}, {"region", "r"}});
     CHECK(bool(ok));
     CHECK_EQ(Str("a"), ok->node);
 }
--- a/src/shared.hpp
+++ b/src/shared.hpp
@@ -61,7 +61,9 @@
 /// No lines; for runs over virtual time, which keep their own trace.
 auto logMute(bool on) -> void;
 template <class... A>
-auto logf(fmt::format_string<A...> f, A&&... a) -> void { logLine(fmt::format(f, std::forward<A>(a)...)); }
+auto logf(fmt::format_string<A...> f, A&&... a) -> void {
+    logLine(fmt::format(f, std::forward<A>(a)...));
+}
 
 // ---- JSON
 
--- a/src/simulate.cpp
+++ b/src/simulate.cpp
@@ -11,10 +11,14 @@
 
 namespace dt {
 
-static const auto FAULTS = std::vector<Str>{"crash", "crash-many", "freeze", "cut-node", "cut-district", "one-way", "core-split", "lossy", "clock", "power", "disk-slow", "disk-full", "disk-stall", "disk-wipe",
-    "replace-core", "server-crash", "server-dark", "server-stall", "server-slow", "server-wrong", "server-cut", "server-skip", "server-deny", "server-cold", "leave", "empty", "config", "race", "plan", "crowd", "swing",
-    "district-loss", "total-loss", "power-after-ack", "wipe-after-ack", "closing-wipe"};
-static const auto BROKEN = std::vector<Str>{"resend-any", "join-any", "ignore-home", "no-budget", "no-ramp", "cut-looks-whole", "ignore-leaving", "no-lease", "ack-early", "old-word", "ack-before-sync", "vote-twice", "no-quorum"};
+static const auto FAULTS = std::vector<Str>{"crash", "crash-many", "freeze", "cut-node", "cut-district",
+    "one-way", "core-split", "lossy", "clock", "power", "disk-slow", "disk-full", "disk-stall", "disk-wipe",
+    "replace-core", "server-crash", "server-dark", "server-stall", "server-slow", "server-wrong",
+    "server-cut", "server-skip", "server-deny", "server-cold", "leave", "empty", "config", "race", "plan",
+    "crowd", "swing", "district-loss", "total-loss", "power-after-ack", "wipe-after-ack", "closing-wipe"};
+static const auto BROKEN =
+    std::vector<Str>{"resend-any", "join-any", "ignore-home", "no-budget", "no-ramp", "cut-looks-whole",
+        "ignore-leaving", "no-lease", "ack-early", "old-word", "ack-before-sync", "vote-twice", "no-quorum"};
 auto simFaults() -> std::vector<Str> { return FAULTS; }
 auto simBroken() -> std::vector<Str> { return BROKEN; }
 
@@ -118,7 +122,7 @@
     Us born = 0, over = 0;  // over: 0 if the outcome never came
     int status = 0;
     std::int64_t gen = 0, base = 0;
-    Str op, what;           // config: the probe pool that it names; empty, give-back: the district
+    Str op, what;  // config: the probe pool that it names; empty, give-back: the district
 };
 
 struct World {
@@ -132,7 +136,9 @@
         std::function<void()> f;
     };
     struct Later {
-        auto operator()(const Ev& a, const Ev& b) const -> bool { return a.at != b.at ? a.at > b.at : a.seq > b.seq; }
+        auto operator()(const Ev& a, const Ev& b) const -> bool {
+            return a.at != b.at ? a.at > b.at : a.seq > b.seq;
+        }
     };
     std::priority_queue<Ev, std::vector<Ev>, Later> q;
     std::int64_t evs = 0;
@@ -188,7 +194,9 @@
         if (r.broken.size() < 20) r.broken.push_back(rule + ": " + s);
     }
     auto lat() -> Us { return 300 + Us(net.below(700)) + (net.chance(.01) ? Us(net.below(20 * MS)) : 0); }
-    auto has(const Str& f) const -> bool { return std::find(op.faults.begin(), op.faults.end(), f) != op.faults.end(); }
+    auto has(const Str& f) const -> bool {
+        return std::find(op.faults.begin(), op.faults.end(), f) != op.faults.end();
+    }
 
     auto load() -> Str;
     auto run() -> void;
@@ -208,7 +216,8 @@
     auto platform() -> void;
     auto listing() -> Str;
     auto tellPlatform(std::function<void(bool)> f, int tries) -> void;
-    auto order(const Str& op, const Str& body, const Str& what, std::int64_t base, std::function<void(int)> f) -> void;
+    auto order(const Str& op, const Str& body, const Str& what, std::int64_t base, std::function<void(int)> f)
+        -> void;
     auto fault(const Str& f) -> void;
     auto faults() -> void;
     auto leader() -> int;
@@ -235,8 +244,10 @@
     inbox.clear();
     calls.clear();
     ct = std::make_unique<Counters>();
-    node = std::make_unique<Node>(st, *this, *ct, w.t + wallOff + 1, hash64(st.node, w.op.seed * 1000 + std::uint64_t(life)));
-    edge = std::make_unique<Edge>(*node, *this, *ct, hash64(st.node, w.op.seed * 1000 + 500 + std::uint64_t(life)));
+    node = std::make_unique<Node>(
+        st, *this, *ct, w.t + wallOff + 1, hash64(st.node, w.op.seed * 1000 + std::uint64_t(life)));
+    edge = std::make_unique<Edge>(
+        *node, *this, *ct, hash64(st.node, w.op.seed * 1000 + 500 + std::uint64_t(life)));
     auto& b = w.op.broken;
     node->broken.noLease = b == "no-lease";
     node->broken.ackEarly = b == "ack-early";
@@ -256,7 +267,8 @@
         dk.gate = {};
         dk.busy = false;
         node->hints(kept);
-        node->startCore(dk.held, fmt::format("{:016x}", hash64(st.node, w.op.seed * 77 + std::uint64_t(life))), now());
+        node->startCore(
+            dk.held, fmt::format("{:016x}", hash64(st.node, w.op.seed * 77 + std::uint64_t(life))), now());
         node->voter()->broken.ackBeforeSync = b == "ack-before-sync";
         node->voter()->broken.voteTwice = b == "vote-twice";
         node->voter()->broken.noQuorum = b == "no-quorum";
@@ -283,7 +295,8 @@
     inbox.clear();
     calls.clear();
     for (auto& [k, tr] : w.tryOf)
-        if (std::get<0>(k) == i && std::get<1>(k) == life && !w.trs[std::size_t(tr)].over) w.in(w.lat(), [this, tr = tr] { w.lostTry(tr); });
+        if (std::get<0>(k) == i && std::get<1>(k) == life && !w.trs[std::size_t(tr)].over)
+            w.in(w.lat(), [this, tr = tr] { w.lostTry(tr); });
     for (auto& c : w.conns)
         if (c->m == i && c->life == life && c->open) w.in(w.lat(), [this, p = c.get()] { w.closeConn(p); });
 }
@@ -360,7 +373,11 @@
         d.boot = v.life;
         d.up = w.t - v.born;
         d.cold = v.cold && w.t - v.born < 20 * SEC;
-        w.to(i, l, ok ? w.lat() : v.up ? 900 * MS : w.lat(), [this, server, ok, no = !v.up, d] { node->loadSeen(server, ok, no, d, now()); });
+        w.to(i, l,
+            ok         ? w.lat()
+                : v.up ? 900 * MS
+                       : w.lat(),
+            [this, server, ok, no = !v.up, d] { node->loadSeen(server, ok, no, d, now()); });
     });
 }
 
@@ -384,7 +401,8 @@
             w.to(i, l, v.up ? SEC : w.lat(), [this, p, x, a, l] {
                 if (!p->open) return;
                 p->open = false;
-                if (auto k = w.tryOf.find({i, l, x}); k != w.tryOf.end()) w.trs[std::size_t(k->second)].sends++;
+                if (auto k = w.tryOf.find({i, l, x}); k != w.tryOf.end())
+                    w.trs[std::size_t(k->second)].sends++;
                 edge->refused(x, a, now());
             });
             return;
@@ -411,7 +429,8 @@
 }
 
 auto Machine::head(std::int64_t x, int, const Headers&) -> void {
-    if (auto k = w.tryOf.find({i, life, x}); k != w.tryOf.end()) w.trs[std::size_t(k->second)].streaming = true;
+    if (auto k = w.tryOf.find({i, life, x}); k != w.tryOf.end())
+        w.trs[std::size_t(k->second)].streaming = true;
 }
 auto Machine::part(std::int64_t x, const Str& s) -> void {
     auto k = w.tryOf.find({i, life, x});
@@ -443,12 +462,16 @@
         x.edge->tick(x.now());
         auto& w = x.node->word();
         auto p = std::pair(w.reign, w.gen);
-        if (p < x.top) broke("no node slips back", fmt::format("{} went from {}/{} to {}/{}", x.st.node, x.top.first, x.top.second, p.first, p.second));
+        if (p < x.top)
+            broke("no node slips back",
+                fmt::format(
+                    "{} went from {}/{} to {}/{}", x.st.node, x.top.first, x.top.second, p.first, p.second));
         x.top = std::max(x.top, p);
         if (auto v = x.node->voter(); v && v->leads()) {
             auto& l = ledBy[{v->reign(), v->term()}];
             if (l.empty()) l = v->disk();
-            if (l != v->disk()) broke("one leader a term", fmt::format("reign {} term {}", v->reign(), v->term()));
+            if (l != v->disk())
+                broke("one leader a term", fmt::format("reign {} term {}", v->reign(), v->term()));
         }
         ticks(m, life);
     });
@@ -482,7 +505,10 @@
         auto model = !k.plain;
         auto md = s.mode;
         if (md == "deny" || (model && s.prefill + s.decode >= s.slots)) {
-            up(c, lat(), [c](Machine& m) { m.edge->upWhole(c->x, c->a, 503, {{"X-Not-Executed", "true"}, {"Retry-After", "1"}}, "{}", m.now()); });
+            up(c, lat(), [c](Machine& m) {
+                m.edge->upWhole(
+                    c->x, c->a, 503, {{"X-Not-Executed", "true"}, {"Retry-After", "1"}}, "{}", m.now());
+            });
             return;
         }
         execs.push_back({tr, c->s, from, t});
@@ -500,7 +526,8 @@
                 up(c, lat(), [c, body, path, hd, w, md](Machine& m) {
                     if (!m.edge->upHead(c->x, c->a, 200, hd, m.now())) return;
                     if (md == "cut") return m.edge->upLost(c->x, c->a, "the reply was cut", m.now());
-                    m.edge->upWhole(c->x, c->a, 200, hd, bodyOf({{"reply", jsQuote(fakeWhole(body + path, w))}}), m.now());
+                    m.edge->upWhole(c->x, c->a, 200, hd,
+                        bodyOf({{"reply", jsQuote(fakeWhole(body + path, w))}}), m.now());
                 });
             });
             return;
@@ -517,7 +544,10 @@
             // What the whole fleet may lay on a cold server: the ramp, and one for each edge
             // whose knowledge is a little old.
             auto cap = 2 + double(s.slots - 2) * double(t - s.born) / double(20 * SEC) + 3;
-            if (s.prefill + s.decode > cap) broke("a cold server is eased in", fmt::format("{} has {} at once {} us after its return", s.name, s.prefill + s.decode, t - s.born));
+            if (s.prefill + s.decode > cap)
+                broke("a cold server is eased in",
+                    fmt::format("{} has {} at once {} us after its return", s.name, s.prefill + s.decode,
+                        t - s.born));
         }
         auto sl = s.life;
         auto prefill = std::max<Us>(MS, left * 100 * slow * (isCold ? 2 : 1));
@@ -536,7 +566,8 @@
                 *order = std::max(*order, t + lat());
                 up(c, *order - t, std::move(f));
             };
-            *step = [this, c, sl, body, hd, w, md, tokens, stream, from, slow, wk = std::weak_ptr(step), later](std::int64_t i) {
+            *step = [this, c, sl, body, hd, w, md, tokens, stream, from, slow, wk = std::weak_ptr(step),
+                        later](std::int64_t i) {
                 auto step = wk.lock();
                 auto& s = ss[std::size_t(c->s)];
                 if (s.life != sl) return;
@@ -544,7 +575,9 @@
                 if (!c->open) return leave();
                 auto late = i > from + 3;
                 if (stream && md == "cut" && late) {
-                    later([c](Machine& m) { m.edge->upLost(c->x, c->a, "the stream closed before its completion mark", m.now()); });
+                    later([c](Machine& m) {
+                        m.edge->upLost(c->x, c->a, "the stream closed before its completion mark", m.now());
+                    });
                     return leave();
                 }
                 if (md == "stall" && late) {
@@ -556,7 +589,9 @@
                         if (stream) {
                             auto e = Event{"", "done", "{}", "event: done\ndata: {}\n\n"};
                             m.edge->upEvent(c->x, c->a, e, m.now());
-                        } else if (m.edge->upHead(c->x, c->a, 200, hd, m.now())) m.edge->upWhole(c->x, c->a, 200, hd, bodyOf({{"reply", jsQuote(fakeWhole(body, w))}}), m.now());
+                        } else if (m.edge->upHead(c->x, c->a, 200, hd, m.now()))
+                            m.edge->upWhole(c->x, c->a, 200, hd,
+                                bodyOf({{"reply", jsQuote(fakeWhole(body, w))}}), m.now());
                     });
                     return leave();
                 }
@@ -583,7 +618,8 @@
     for (auto& c : conns)
         if (c->s == k && c->open && !silent) {
             auto p = c.get();
-            if (ms[std::size_t(p->m)]->up && ms[std::size_t(p->m)]->life == p->life) up(p, lat(), [p](Machine& m) { m.edge->upLost(p->x, p->a, "reset", m.now()); });
+            if (ms[std::size_t(p->m)]->up && ms[std::size_t(p->m)]->life == p->life)
+                up(p, lat(), [p](Machine& m) { m.edge->upLost(p->x, p->a, "reset", m.now()); });
         }
 }
 
@@ -612,7 +648,8 @@
         while (std::int64_t(p.size()) < d.shared * 4) p += "lorem dune turns ";
         p += fmt::format("own {} ", no);
         p += Str(std::size_t(std::max<std::int64_t>(0, d.prompt * 4 - std::int64_t(p.size()))), 's');
-        a.body = bodyOf({{"prompt", jsQuote(p)}, {"tokens", fmt::to_string(d.tokens)}, {"stream", d.stream ? "true" : "false"}});
+        a.body = bodyOf({{"prompt", jsQuote(p)}, {"tokens", fmt::to_string(d.tokens)},
+            {"stream", d.stream ? "true" : "false"}});
     }
     asks.push_back(std::move(a));
     r.kinds[d.name].sent++;
@@ -684,7 +721,9 @@
                 auto& T = trs[std::size_t(tr)];
                 if (T.over) return;
                 lostTry(tr);
-                to(to1, l2, 0, [this, tr, to1] { ms[std::size_t(to1)]->edge->gone(trs[std::size_t(tr)].x, ms[std::size_t(to1)]->now()); });
+                to(to1, l2, 0, [this, tr, to1] {
+                    ms[std::size_t(to1)]->edge->gone(trs[std::size_t(tr)].x, ms[std::size_t(to1)]->now());
+                });
             });
         });
     });
@@ -704,7 +743,8 @@
         if (killedAll && !backAt && x.born > killedAll) backAt = t;
     } else if (what == "cut") k.cut++;
     else k.failed++;
-    say(fmt::format("try {} of {} at {}: {}", tr, ks[std::size_t(x.kind)].name, ms[std::size_t(T.m)]->st.node, what));
+    say(fmt::format(
+        "try {} of {} at {}: {}", tr, ks[std::size_t(x.kind)].name, ms[std::size_t(T.m)]->st.node, what));
 }
 auto World::lostTry(int tr) -> void { result(tr, trs[std::size_t(tr)].streaming ? "cut" : "failed"); }
 
@@ -730,18 +770,26 @@
     }
     if (type == "done") {
         T.done = true;
-        if (T.last != k.tokens) broke("a cut reply never looks whole", fmt::format("complete after {} of {} events", T.last, k.tokens));
+        if (T.last != k.tokens)
+            broke("a cut reply never looks whole",
+                fmt::format("complete after {} of {} events", T.last, k.tokens));
         return;
     }
-    if (id != T.last + 1) broke("nothing is dropped, repeated or joined wrongly", fmt::format("try {} of {}: event {} after {}", tr, k.name, id, T.last));
+    if (id != T.last + 1)
+        broke("nothing is dropped, repeated or joined wrongly",
+            fmt::format("try {} of {}: event {} after {}", tr, k.name, id, T.last));
     T.last = id;
     if (id == 1) r.kinds[k.name].first.push_back(t - x.born);
-    if (data != bodyOf({{"text", jsQuote(fakePiece(x.body, "w1", id))}})) broke("a reply is the server's", fmt::format("event {} of try {}", id, tr));
+    if (data != bodyOf({{"text", jsQuote(fakePiece(x.body, "w1", id))}}))
+        broke("a reply is the server's", fmt::format("event {} of try {}", id, tr));
 }
 auto World::endTry(int tr, bool whole) -> void {
     auto& T = trs[std::size_t(tr)];
     if (T.over) return;
-    if (whole && !T.done) broke("a cut reply never looks whole", fmt::format("try {} of {} ended whole without its mark after {}", tr, ks[std::size_t(asks[std::size_t(T.ask)].kind)].name, T.last));
+    if (whole && !T.done)
+        broke("a cut reply never looks whole",
+            fmt::format("try {} of {} ended whole without its mark after {}", tr,
+                ks[std::size_t(asks[std::size_t(T.ask)].kind)].name, T.last));
     result(tr, whole && T.done ? "whole" : "cut");
 }
 auto World::replyTry(int tr, int status, const Headers& h, const Str& body) -> void {
@@ -753,7 +801,8 @@
     if (status == 200) {
         auto d = Doc();
         auto s = jsParse(body, d) ? jsStr(d, "reply") : Str();
-        if (s != fakeWhole(k.plain ? x.body + x.path : x.body, "w1")) broke("a reply is the server's", fmt::format("try {} of {}", tr, k.name));
+        if (s != fakeWhole(k.plain ? x.body + x.path : x.body, "w1"))
+            broke("a reply is the server's", fmt::format("try {} of {}", tr, k.name));
         r.kinds[k.name].first.push_back(t - x.born);
         return result(tr, "whole");
     }
@@ -771,8 +820,11 @@
 auto World::listing() -> Str {
     auto o = Str();
     for (auto& s : ss)
-        o += (o.empty() ? "" : ",") + bodyOf({{"name", jsQuote(s.name)}, {"address", jsQuote(s.addr)}, {"region", jsQuote(s.region)}, {"district", jsQuote(s.district)}, {"pool", jsQuote(s.pool)}, {"weights", jsQuote(s.weights)},
-            {"slots", fmt::to_string(s.slots)}, {"state", s.leavingAcked ? "\"leaving\"" : "\"up\""}, {"incarnation", fmt::to_string(s.life)}});
+        o += (o.empty() ? "" : ",")
+            + bodyOf({{"name", jsQuote(s.name)}, {"address", jsQuote(s.addr)}, {"region", jsQuote(s.region)},
+                {"district", jsQuote(s.district)}, {"pool", jsQuote(s.pool)}, {"weights", jsQuote(s.weights)},
+                {"slots", fmt::to_string(s.slots)}, {"state", s.leavingAcked ? "\"leaving\"" : "\"up\""},
+                {"incarnation", fmt::to_string(s.life)}});
     return "{\"servers\":[" + o + "]}";
 }
 auto World::tellPlatform(std::function<void(bool)> f, int tries) -> void {
@@ -823,7 +875,8 @@
     return -1;
 }
 
-auto World::order(const Str& o, const Str& body, const Str& what, std::int64_t base, std::function<void(int)> f) -> void {
+auto World::order(
+    const Str& o, const Str& body, const Str& what, std::int64_t base, std::function<void(int)> f) -> void {
     auto m = askAt >= 0 ? askAt : aliveMachine();
     askAt = -1;
     if (m < 0) return;
@@ -840,7 +893,9 @@
             d.over = t;
             d.status = u.status;
             auto j = Doc();
-            if (jsParse(u.body, j) && j.IsObject()) d.gen = d.op == "config" && u.status == 200 ? jsInt(j, "configGeneration") : jsInt(j, "generation");
+            if (jsParse(u.body, j) && j.IsObject())
+                d.gen = d.op == "config" && u.status == 200 ? jsInt(j, "configGeneration")
+                                                            : jsInt(j, "generation");
             say(fmt::format("order {}: status {} {}", n, u.status, u.body));
             if (u.status == 200) r.acked++;
             if (u.status == 504) r.unknown++;
@@ -873,13 +928,23 @@
                 // A readback is at least as new as all that was acknowledged before it was asked for.
                 for (auto& d : ords)
                     if (d.op == "config" && d.status == 200 && d.over && d.over <= born) {
-                        if (d.gen > w.configGen()) broke("readback is the newest accepted", fmt::format("read generation {} after {} was acknowledged", w.configGen(), d.gen));
-                        if (d.gen == w.configGen() && d.what != p) broke("readback is the newest accepted", fmt::format("generation {} reads {} and was {}", d.gen, p, d.what));
+                        if (d.gen > w.configGen())
+                            broke("readback is the newest accepted",
+                                fmt::format(
+                                    "read generation {} after {} was acknowledged", w.configGen(), d.gen));
+                        if (d.gen == w.configGen() && d.what != p)
+                            broke("readback is the newest accepted",
+                                fmt::format("generation {} reads {} and was {}", d.gen, p, d.what));
                     }
                 auto known = w.configGen() == 0;
                 for (auto& d : ords)
-                    if (d.op == "config" && d.what == p && (d.over == 0 || d.status == 504 || d.status == 503 || (d.status == 200 && d.gen == w.configGen()))) known = true;
-                if (!known) broke("what was refused never takes effect", fmt::format("generation {} reads {}", w.configGen(), p));
+                    if (d.op == "config" && d.what == p
+                        && (d.over == 0 || d.status == 504 || d.status == 503
+                            || (d.status == 200 && d.gen == w.configGen())))
+                        known = true;
+                if (!known)
+                    broke("what was refused never takes effect",
+                        fmt::format("generation {} reads {}", w.configGen(), p));
             }
             f(o.status == 200, o.body);
         };
@@ -897,7 +962,11 @@
     jsParse(config, d);
     auto& al = d.GetAllocator();
     auto m = Val(rapidjson::kObjectType);
-    m.AddMember("name", "probe", al).AddMember("method", "POST", al).AddMember("path", "/probe", al).AddMember("pool", Val(fmt::format("probe-{}", k), al), al).AddMember("MaxTries", 1, al);
+    m.AddMember("name", "probe", al)
+        .AddMember("method", "POST", al)
+        .AddMember("path", "/probe", al)
+        .AddMember("pool", Val(fmt::format("probe-{}", k), al), al)
+        .AddMember("MaxTries", 1, al);
     auto sp = Val(rapidjson::kArrayType);
     for (auto& g : regions) sp.PushBack(Val(g, al), al);
     m.AddMember("spill", sp, al);
@@ -910,7 +979,9 @@
     auto& s = ss[std::size_t(e.s)];
     if (s.leavingAcked && t - s.leavingAcked > 0) {
         r.lastDisobedient = std::max(r.lastDisobedient, t - s.leavingAcked);
-        if (t - s.leavingAcked > op.leaveLimit) broke("nothing new reaches a leaving server", fmt::format("{} {} us after the mark was taken", s.name, t - s.leavingAcked));
+        if (t - s.leavingAcked > op.leaveLimit)
+            broke("nothing new reaches a leaving server",
+                fmt::format("{} {} us after the mark was taken", s.name, t - s.leavingAcked));
     }
     // Emptied districts: in the order of generations; an unknown outcome may stand or not.
     auto since = Us(0);
@@ -931,23 +1002,30 @@
         }
     if (since && sure && t > since) {
         r.lastDisobedient = std::max(r.lastDisobedient, t - since);
-        if (t - since > 5 * SEC) broke("nothing new reaches an emptied zone", fmt::format("{} in {} {} us after the order", s.name, s.district, t - since));
+        if (t - since > 5 * SEC)
+            broke("nothing new reaches an emptied zone",
+                fmt::format("{} in {} {} us after the order", s.name, s.district, t - since));
     }
     // The probe's pool tells which configuration the sender's node obeyed.
     if (s.pool.starts_with("probe-")) {
         auto newest = std::int64_t(-1);
         for (auto& d : ords)
-            if (d.op == "config" && d.status == 200 && d.over && t - d.over > 3 * SEC) newest = std::max(newest, d.gen);
+            if (d.op == "config" && d.status == 200 && d.over && t - d.over > 3 * SEC)
+                newest = std::max(newest, d.gen);
         auto ok = false;
         for (auto& d : ords)
             if (d.op == "config" && d.what == s.pool) {
                 if (d.over && d.status == 200) ok = ok || d.gen >= newest;
                 else if (!d.over || d.status == 504 || d.status == 503) ok = true;
             }
-        if (!ok) broke("an acknowledged configuration is obeyed within 3 s", fmt::format("{} was reached, generation {} is in force", s.pool, newest));
+        if (!ok)
+            broke("an acknowledged configuration is obeyed within 3 s",
+                fmt::format("{} was reached, generation {} is in force", s.pool, newest));
         for (auto& d : ords)
             if (d.op == "config" && d.status == 200 && d.over && d.what != s.pool && d.over < t) {
-                auto older = std::none_of(ords.begin(), ords.end(), [&](auto& o) { return o.op == "config" && o.what == s.pool && (o.status != 200 || o.gen >= d.gen); });
+                auto older = std::none_of(ords.begin(), ords.end(), [&](auto& o) {
+                    return o.op == "config" && o.what == s.pool && (o.status != 200 || o.gen >= d.gen);
+                });
                 if (older) r.lastDisobedient = std::max(r.lastDisobedient, t - d.over);
             }
     }
@@ -958,15 +1036,20 @@
     auto& x = asks[std::size_t(T.ask)];
     auto& k = ks[std::size_t(x.kind)];
     auto& s = ss[std::size_t(e.s)];
-    if (T.notRun) broke("what was denied has not run", fmt::format("try {} of {} ran on {} after its denial", e.tr, k.name, s.name));
+    if (T.notRun)
+        broke("what was denied has not run",
+            fmt::format("try {} of {} ran on {} after its denial", e.tr, k.name, s.name));
     auto c = Doc();
     jsParse(config, c);
     for (auto& v : c["mappings"].GetArray()) {
         if (jsStr(v, "name") != k.name) continue;
-        if (T.execs.size() > 1 && !jsBool(v, "Resumable")) broke("a stream that cannot be resumed never runs twice", fmt::format("try {} of {} runs again on {}", e.tr, k.name, s.name));
+        if (T.execs.size() > 1 && !jsBool(v, "Resumable"))
+            broke("a stream that cannot be resumed never runs twice",
+                fmt::format("try {} of {} runs again on {}", e.tr, k.name, s.name));
         auto h = jsStr(v, "home");
         if (h == "@near") h = x.region;
-        if (!h.empty() && h != s.region) broke("a home region is never left", fmt::format("{} with home {} on {}", k.name, h, s.name));
+        if (!h.empty() && h != s.region)
+            broke("a home region is never left", fmt::format("{} with home {} on {}", k.name, h, s.name));
         if (s.region != x.region) r.kinds[k.name].spilled++;
     }
     if (T.execs.size() > 1) {
@@ -1024,12 +1107,15 @@
     auto& k = *ms[std::size_t(c)];
     say("fault " + f);
     auto restart = [this](int i, Us d) {
-        in(d, [this, i] { if (!ended) ms[std::size_t(i)]->start(); });
+        in(d, [this, i] {
+            if (!ended) ms[std::size_t(i)]->start();
+        });
     };
     auto cutBoth = [this](auto pa, auto pb, int d) {
         for (auto& a : ms)
             for (auto& b : ms)
-                if (a->i != b->i && ((pa(*a) && pb(*b)) || (pb(*a) && pa(*b)))) cut[std::size_t(a->i)][std::size_t(b->i)] += d;
+                if (a->i != b->i && ((pa(*a) && pb(*b)) || (pb(*a) && pa(*b))))
+                    cut[std::size_t(a->i)][std::size_t(b->i)] += d;
     };
     if (f == "crash") {
         m.kill(false);
@@ -1062,22 +1148,30 @@
         auto pa = [i](Machine& x) { return x.i == i; };
         auto pb = [i, core](Machine& x) { return x.i != i && (!core || x.core); };
         cutBoth(pa, pb, 1);
-        in(span, [=, this] { if (!ended) cutBoth(pa, pb, -1); });
+        in(span, [=, this] {
+            if (!ended) cutBoth(pa, pb, -1);
+        });
     } else if (f == "cut-district") {
         auto z = m.st.district;
         auto pa = [z](Machine& x) { return x.st.district == z; };
         auto pb = [z](Machine& x) { return x.st.district != z; };
         cutBoth(pa, pb, 1);
-        in(span, [=, this] { if (!ended) cutBoth(pa, pb, -1); });
+        in(span, [=, this] {
+            if (!ended) cutBoth(pa, pb, -1);
+        });
     } else if (f == "one-way") {
         auto i = frng.chance(.5) ? c : n;
         auto outw = frng.chance(.5);
         auto set = [this, i, outw](int d) {
             for (auto& x : ms)
-                if (x->i != i) (outw ? cut[std::size_t(i)][std::size_t(x->i)] : cut[std::size_t(x->i)][std::size_t(i)]) += d;
+                if (x->i != i)
+                    (outw ? cut[std::size_t(i)][std::size_t(x->i)]
+                          : cut[std::size_t(x->i)][std::size_t(i)]) += d;
         };
         set(1);
-        in(span, [this, set] { if (!ended) set(-1); });
+        in(span, [this, set] {
+            if (!ended) set(-1);
+        });
     } else if (f == "lossy") {
         loss = 0.2;
         in(span, [this] { loss = 0; });
@@ -1101,7 +1195,15 @@
     } else if (f == "disk-wipe" || f == "replace-core") {
         // One disk at a time: what the fleet is built to lose.
         auto blank = 0;
-        for (auto i : cores) blank += !ms[std::size_t(i)]->up || ms[std::size_t(i)]->node->voter()->blank() || (leader() >= 0 && !std::any_of(ms[std::size_t(leader())]->node->word().voters().size() ? ms[std::size_t(leader())]->node->word().d["voters"].Begin() : nullptr, ms[std::size_t(leader())]->node->word().d["voters"].End(), [&](auto& v) { return jsStr(v, "disk") == ms[std::size_t(i)]->node->voter()->disk(); }));
+        for (auto i : cores)
+            blank += !ms[std::size_t(i)]->up || ms[std::size_t(i)]->node->voter()->blank()
+                || (leader() >= 0
+                    && !std::any_of(ms[std::size_t(leader())]->node->word().voters().size()
+                            ? ms[std::size_t(leader())]->node->word().d["voters"].Begin()
+                            : nullptr,
+                        ms[std::size_t(leader())]->node->word().d["voters"].End(), [&](auto& v) {
+                            return jsStr(v, "disk") == ms[std::size_t(i)]->node->voter()->disk();
+                        }));
         if (blank || leader() < 0) return;
         k.kill(true);
         k.dk.held = {};
@@ -1222,13 +1324,19 @@
         for (auto i = 0; i < two; i++) {
             auto p = int(frng.below(std::uint64_t(probes)));
             auto b = f == "race" ? base : base + i;
-            in(f == "race" ? Us(frng.below(5 * MS)) : i * 700 * MS, [this, p, b] { order("config", fmt::format("{{\"base\":{},\"config\":{}}}", b, probeConfig(p)), fmt::format("probe-{}", p), b, {}); });
+            in(f == "race" ? Us(frng.below(5 * MS)) : i * 700 * MS, [this, p, b] {
+                order("config", fmt::format("{{\"base\":{},\"config\":{}}}", b, probeConfig(p)),
+                    fmt::format("probe-{}", p), b, {});
+            });
         }
     } else if (f == "plan") {
         if (emptiesOpen) return;
         emptiesOpen = 1;
         auto z = m.st.district;
-        order("book", bodyOf({{"at", jsQuote(wallText(t + 1800000000LL * SEC + 4 * SEC))}, {"move", bodyOf({{"op", "\"empty\""}, {"district", jsQuote(z)}})}}), z, 0, {});
+        order("book",
+            bodyOf({{"at", jsQuote(wallText(t + 1800000000LL * SEC + 4 * SEC))},
+                {"move", bodyOf({{"op", "\"empty\""}, {"district", jsQuote(z)}})}}),
+            z, 0, {});
         auto give = std::make_shared<std::function<void()>>();
         *give = [this, z, wk = std::weak_ptr(give)] {
             auto give = wk.lock();
@@ -1263,13 +1371,14 @@
             killedAll = t;
             backAt = 0;
         });
-        in(8 * SEC, [this] { if (!backAt) dump(); });
+        in(8 * SEC, [this] {
+            if (!backAt) dump();
+        });
         in(16 * SEC, [this] {
             if (!backAt) dump(), broke("serving is back within 12 s of a total loss", "no whole reply yet");
             else r.recovery = std::max(r.recovery, backAt - killedAll);
         });
-    }
-    else if (f.ends_with("-after-ack")) {
+    } else if (f.ends_with("-after-ack")) {
         // What was acknowledged is put to the test at that very moment.
         auto wipe = f == "wipe-after-ack";
         if (!wipe)
@@ -1286,22 +1395,23 @@
         if (split) cutBoth(pa, pb, 1);
         askAt = split ? i1 : -1;
         if (split) in(7 * SEC, [=] { cutBoth(pa, pb, -1); });
-        order("config", fmt::format("{{\"base\":{},\"config\":{}}}", base, probeConfig(p)), fmt::format("probe-{}", p), base, [this, wipe, cores, restart, i1, i2, split](int st) {
-            for (auto i : cores) ms[std::size_t(i)]->dk.lat = 2 * MS;
-            if (st != 200) return;
-            auto n = 0;
-            for (auto& x : ms) {
-                if (wipe && (!x->core || n == 2 || (split && x->i != i1 && x->i != i2))) continue;
-                n++;
-                x->kill(true);
-                if (wipe) {
-                    x->dk.held = {};
-                    x->kept.clear();
-                    say(x->st.node + " loses its disk");
+        order("config", fmt::format("{{\"base\":{},\"config\":{}}}", base, probeConfig(p)),
+            fmt::format("probe-{}", p), base, [this, wipe, cores, restart, i1, i2, split](int st) {
+                for (auto i : cores) ms[std::size_t(i)]->dk.lat = 2 * MS;
+                if (st != 200) return;
+                auto n = 0;
+                for (auto& x : ms) {
+                    if (wipe && (!x->core || n == 2 || (split && x->i != i1 && x->i != i2))) continue;
+                    n++;
+                    x->kill(true);
+                    if (wipe) {
+                        x->dk.held = {};
+                        x->kept.clear();
+                        say(x->st.node + " loses its disk");
+                    }
+                    restart(x->i, SEC);
                 }
-                restart(x->i, SEC);
-            }
-        });
+            });
     }
 }
 
@@ -1318,7 +1428,9 @@
         auto n = int(op.perMinute * double(till - from) / double(60 * SEC));
         for (auto i = 0; i < std::max(1, n); i++) {
             auto f = fs[frng.below(fs.size())];
-            at(from + Us(frng.below(std::uint64_t(till - from))), [this, f] { if (!ended) fault(f); });
+            at(from + Us(frng.below(std::uint64_t(till - from))), [this, f] {
+                if (!ended) fault(f);
+            });
         }
     }
     if (alone.empty()) return;
@@ -1352,11 +1464,15 @@
         ms.push_back(std::move(m));
     }
     cut.assign(ms.size(), std::vector<int>(ms.size(), 0));
-    auto t1 = fileRead(op.example + "/servers.json"), t2 = fileRead(op.example + "/config.json"), t3 = fileRead(op.example + "/day.json");
+    auto t1 = fileRead(op.example + "/servers.json"), t2 = fileRead(op.example + "/config.json"),
+         t3 = fileRead(op.example + "/day.json");
     auto d1 = Doc(), d2 = Doc(), d3 = Doc();
-    if (!t1 || !jsParse(*t1, d1) || !d1.IsObject() || !d1.HasMember("servers")) return op.example + "/servers.json: no listing";
-    if (!t2 || !jsParse(*t2, d2) || !configCheck(d2).empty()) return op.example + "/config.json: no sound configuration";
-    if (!t3 || !jsParse(*t3, d3) || !d3.IsObject() || !d3.HasMember("kinds")) return op.example + "/day.json: no day";
+    if (!t1 || !jsParse(*t1, d1) || !d1.IsObject() || !d1.HasMember("servers"))
+        return op.example + "/servers.json: no listing";
+    if (!t2 || !jsParse(*t2, d2) || !configCheck(d2).empty())
+        return op.example + "/config.json: no sound configuration";
+    if (!t3 || !jsParse(*t3, d3) || !d3.IsObject() || !d3.HasMember("kinds"))
+        return op.example + "/day.json: no day";
     config = *t2;
     regions = jsList(d3, "regions");
     for (auto& v : d1["servers"].GetArray()) {
@@ -1381,7 +1497,8 @@
         s.slots = 64;
         ss.push_back(s);
     }
-    for (auto i = std::size_t(0); i < ss.size(); i++) sByAddr[ss[i].addr] = int(i), sByName[ss[i].name] = int(i);
+    for (auto i = std::size_t(0); i < ss.size(); i++)
+        sByAddr[ss[i].addr] = int(i), sByName[ss[i].name] = int(i);
     for (auto& v : d3["kinds"].GetArray()) {
         auto k = Kind();
         static_cast<DayKind&>(k) = dayKind(v);
@@ -1404,34 +1521,37 @@
     auto first = std::make_shared<std::function<void()>>();
     *first = [this, wk = std::weak_ptr(first)] {
         auto first = wk.lock();
-        order("config", fmt::format("{{\"base\":0,\"config\":{}}}", probeConfig(0)), "probe-0", 0, [this, first](int st) {
-            if (st != 200 && st != 409) in(500 * MS, [first] { (*first)(); });
-            else
-                for (auto k = std::size_t(0); k < ks.size(); k++) in(3 * SEC, [this, k] { arrive(k); });
-        });
+        order("config", fmt::format("{{\"base\":0,\"config\":{}}}", probeConfig(0)), "probe-0", 0,
+            [this, first](int st) {
+                if (st != 200 && st != 409) in(500 * MS, [first] { (*first)(); });
+                else
+                    for (auto k = std::size_t(0); k < ks.size(); k++) in(3 * SEC, [this, k] { arrive(k); });
+            });
     };
     at(4 * SEC, [first] { (*first)(); });
     faults();
     // Operators read back now and then.
-    for (auto x = 6 * SEC; x < op.duration; x += 3 * SEC + Us(frng.below(SEC))) at(x, [this] { readback([](bool, const Str&) {}); });
+    for (auto x = 6 * SEC; x < op.duration; x += 3 * SEC + Us(frng.below(SEC)))
+        at(x, [this] { readback([](bool, const Str&) {}); });
     at(op.duration - 14 * SEC, [this] {
         say("all faults are healed");
         heal();
     });
-    if (has("closing-wipe")) at(op.duration - 6 * SEC, [this] {
-        // The closing fault: a majority of the disks goes, with what was acknowledged on them.
-        auto n = 0;
-        for (auto& m : ms)
-            if (m->core && n < 2) {
-                n++;
-                r.faults++;
-                m->kill(true);
-                m->dk.held = {};
-                m->kept.clear();
-                say(m->st.node + " loses its disk");
-                in(SEC, [p = m.get()] { p->start(); });
-            }
-    });
+    if (has("closing-wipe"))
+        at(op.duration - 6 * SEC, [this] {
+            // The closing fault: a majority of the disks goes, with what was acknowledged on them.
+            auto n = 0;
+            for (auto& m : ms)
+                if (m->core && n < 2) {
+                    n++;
+                    r.faults++;
+                    m->kill(true);
+                    m->dk.held = {};
+                    m->kept.clear();
+                    say(m->st.node + " loses its disk");
+                    in(SEC, [p = m.get()] { p->start(); });
+                }
+        });
     at(op.duration, [this] {
         ended = true;
         say("the day ends");
@@ -1452,7 +1572,8 @@
                 say(fmt::format("day's end reads configuration {} of reign {}", w.configGen(), w.reign));
                 // Booked moves fired once each, if their hour has come.
                 for (auto& m : w.d["plan"].GetArray())
-                    if (jsStr(m, "state") == "booked" && jsInt(m, "at") + 5 * SEC < t + 1800000000LL * SEC) broke("a move fires exactly once", jsStr(m, "id") + " never fired");
+                    if (jsStr(m, "state") == "booked" && jsInt(m, "at") + 5 * SEC < t + 1800000000LL * SEC)
+                        broke("a move fires exactly once", jsStr(m, "id") + " never fired");
             } else if (tries > 0) in(500 * MS, [last, tries] { (*last)(tries - 1); });
             else dump(), broke("the newest accepted is read back at day's end", "no readback succeeds");
         });
@@ -1480,7 +1601,17 @@
             continue;
         }
         auto v = m->node->voter();
-        say(fmt::format("{}{} {}", m->frozen ? "frozen " : "", m->node->status(m->now()), v ? fmt::format("voters {} role {} disk {} bad {} reign {} term {} last {} commit {} under {}", [&] { auto o = Str(); for (auto& x : v->voters()) o += x.disk.substr(0, 4) + " "; return o; }(), int(v->role()), v->disk(), v->diskBad(), v->reign(), v->term(), v->last(), v->commit(), m->dk.under.size()) : ""));
+        say(fmt::format("{}{} {}", m->frozen ? "frozen " : "", m->node->status(m->now()),
+            v ? fmt::format(
+                "voters {} role {} disk {} bad {} reign {} term {} last {} commit {} under {}",
+                [&] {
+                    auto o = Str();
+                    for (auto& x : v->voters()) o += x.disk.substr(0, 4) + " ";
+                    return o;
+                }(),
+                int(v->role()), v->disk(), v->diskBad(), v->reign(), v->term(), v->last(), v->commit(),
+                m->dk.under.size())
+              : ""));
     }
 }
 
@@ -1488,19 +1619,28 @@
     // Orders: generations are unique and follow real time.
     for (auto& a : ords)
         for (auto& b : ords) {
-            if (&a == &b || a.op != "config" || b.op != "config" || a.status != 200 || b.status != 200 || !a.over || !b.over) continue;
-            if (a.gen == b.gen) broke("a lost race never takes effect", fmt::format("two orders were told generation {}", a.gen));
-            if (a.over < b.born && a.gen >= b.gen) broke("orders are linearizable", fmt::format("generation {} was acknowledged before {} was asked for", a.gen, b.gen));
-            if (a.base == b.base && a.base > 0) broke("a lost race never takes effect", fmt::format("two orders won on base {}", a.base));
+            if (&a == &b || a.op != "config" || b.op != "config" || a.status != 200 || b.status != 200
+                || !a.over || !b.over)
+                continue;
+            if (a.gen == b.gen)
+                broke("a lost race never takes effect",
+                    fmt::format("two orders were told generation {}", a.gen));
+            if (a.over < b.born && a.gen >= b.gen)
+                broke("orders are linearizable",
+                    fmt::format("generation {} was acknowledged before {} was asked for", a.gen, b.gen));
+            if (a.base == b.base && a.base > 0)
+                broke("a lost race never takes effect", fmt::format("two orders won on base {}", a.base));
         }
     r.firsts = r.extras = 0;
     for (auto& x : trs) r.firsts += x.sends > 0, r.extras += std::max(0, x.sends - 1);
-    if (r.firsts && double(r.extras) > 0.2 * double(r.firsts) + 3) broke("extra tries stay near a fifth", fmt::format("{} extra on {} first", r.extras, r.firsts));
+    if (r.firsts && double(r.extras) > 0.2 * double(r.firsts) + 3)
+        broke("extra tries stay near a fifth", fmt::format("{} extra on {} first", r.extras, r.firsts));
     for (auto& m : ms)
         if (m->up)
             for (auto& [k, v] : m->ct->c)
                 if (k.ends_with("_total")) sumCt[k] += v;
-    if (auto x = sumCt["extra_sends_total"]; double(x) > 0.2 * double(sumCt["first_sends_total"]) + 3) broke("extra tries stay near a fifth", fmt::format("{} extra sends counted", x));
+    if (auto x = sumCt["extra_sends_total"]; double(x) > 0.2 * double(sumCt["first_sends_total"]) + 3)
+        broke("extra tries stay near a fifth", fmt::format("{} extra sends counted", x));
     r.counters = sumCt;
 }
 
@@ -1508,10 +1648,13 @@
 
 auto simRun(const SimOptions& o) -> tl::expected<SimResult, SimError> {
     for (auto& f : o.faults)
-        if (std::find(FAULTS.begin(), FAULTS.end(), f) == FAULTS.end()) return tl::make_unexpected(SimError{"unknown fault: " + f});
-    if (!o.broken.empty() && std::find(BROKEN.begin(), BROKEN.end(), o.broken) == BROKEN.end()) return tl::make_unexpected(SimError{"unknown broken variant: " + o.broken});
+        if (std::find(FAULTS.begin(), FAULTS.end(), f) == FAULTS.end())
+            return tl::make_unexpected(SimError{"unknown fault: " + f});
+    if (!o.broken.empty() && std::find(BROKEN.begin(), BROKEN.end(), o.broken) == BROKEN.end())
+        return tl::make_unexpected(SimError{"unknown broken variant: " + o.broken});
     if (o.duration < 40 * SEC) return tl::make_unexpected(SimError{"a day lasts at least 40000000 us"});
-    if (o.scale <= 0 || o.perMinute < 0) return tl::make_unexpected(SimError{"scale and faults per minute want to be positive"});
+    if (o.scale <= 0 || o.perMinute < 0)
+        return tl::make_unexpected(SimError{"scale and faults per minute want to be positive"});
     auto w = std::make_unique<World>();
     w->op = o;
     w->rng = Rng{hash64("world", o.seed)};
@@ -1536,16 +1679,36 @@
         }
         auto ks = Str();
         for (auto& [n, k] : r->kinds)
-            ks += (ks.empty() ? "" : ",") + jsQuote(n) + ":" + bodyOf({{"sent", fmt::to_string(k.sent)}, {"whole", fmt::to_string(k.whole)}, {"moved", fmt::to_string(k.moved)}, {"denied", fmt::to_string(k.denied)}, {"failed", fmt::to_string(k.failed)},
-                {"cut", fmt::to_string(k.cut)}, {"spilled", fmt::to_string(k.spilled)}, {"p50Us", fmt::to_string(quantile(k.took, .5))}, {"p99Us", fmt::to_string(quantile(k.took, .99))}, {"first50Us", fmt::to_string(quantile(k.first, .5))}, {"first99Us", fmt::to_string(quantile(k.first, .99))}});
-        auto line = bodyOf({{"seed", fmt::to_string(o.seed)}, {"broken", fmt::to_string(r->broken.size())}, {"digest", jsQuote(fmt::format("{:016x}", r->digest))}, {"faults", fmt::to_string(r->faults)}, {"firstSends", fmt::to_string(r->firsts)}, {"extraSends", fmt::to_string(r->extras)},
-            {"prompts", fmt::to_string(r->prompts)}, {"cacheHits", fmt::to_string(r->cacheHits)}, {"tokensRead", fmt::to_string(r->tokensRead)}, {"migrations", fmt::to_string(r->counters["migrations_ongoing_total"])}, {"resends", fmt::to_string(r->counters["migrations_new_total"])}, {"budgetDenied", fmt::to_string(r->counters["budget_denied_total"])}, {"tokensReadAgain", fmt::to_string(r->tokensAgain)}, {"orders", fmt::to_string(r->orders)}, {"acknowledged", fmt::to_string(r->acked)}, {"unknown", fmt::to_string(r->unknown)},
-            {"lastDisobedientUs", fmt::to_string(r->lastDisobedient)}, {"recoveryUs", fmt::to_string(r->recovery)}, {"configGeneration", fmt::to_string(r->wordGen)}, {"reign", fmt::to_string(r->reign)}, {"kinds", "{" + ks + "}"}});
+            ks += (ks.empty() ? "" : ",") + jsQuote(n) + ":"
+                + bodyOf({{"sent", fmt::to_string(k.sent)}, {"whole", fmt::to_string(k.whole)},
+                    {"moved", fmt::to_string(k.moved)}, {"denied", fmt::to_string(k.denied)},
+                    {"failed", fmt::to_string(k.failed)}, {"cut", fmt::to_string(k.cut)},
+                    {"spilled", fmt::to_string(k.spilled)}, {"p50Us", fmt::to_string(quantile(k.took, .5))},
+                    {"p99Us", fmt::to_string(quantile(k.took, .99))},
+                    {"first50Us", fmt::to_string(quantile(k.first, .5))},
+                    {"first99Us", fmt::to_string(quantile(k.first, .99))}});
+        auto line = bodyOf({{"seed", fmt::to_string(o.seed)}, {"broken", fmt::to_string(r->broken.size())},
+            {"digest", jsQuote(fmt::format("{:016x}", r->digest))}, {"faults", fmt::to_string(r->faults)},
+            {"firstSends", fmt::to_string(r->firsts)}, {"extraSends", fmt::to_string(r->extras)},
+            {"prompts", fmt::to_string(r->prompts)}, {"cacheHits", fmt::to_string(r->cacheHits)},
+            {"tokensRead", fmt::to_string(r->tokensRead)},
+            {"migrations", fmt::to_string(r->counters["migrations_ongoing_total"])},
+            {"resends", fmt::to_string(r->counters["migrations_new_total"])},
+            {"budgetDenied", fmt::to_string(r->counters["budget_denied_total"])},
+            {"tokensReadAgain", fmt::to_string(r->tokensAgain)}, {"orders", fmt::to_string(r->orders)},
+            {"acknowledged", fmt::to_string(r->acked)}, {"unknown", fmt::to_string(r->unknown)},
+            {"lastDisobedientUs", fmt::to_string(r->lastDisobedient)},
+            {"recoveryUs", fmt::to_string(r->recovery)}, {"configGeneration", fmt::to_string(r->wordGen)},
+            {"reign", fmt::to_string(r->reign)}, {"kinds", "{" + ks + "}"}});
         if (json) fmt::print("{}\n", line);
         else {
             auto s = std::int64_t(0), w = std::int64_t(0);
             for (auto& [n, k] : r->kinds) s += k.sent, w += k.whole;
-            fmt::print("seed {}: {} rules broken, {} faults, {} of {} whole, {} extra sends on {}, {} of {} orders acknowledged, digest {:016x}\n", o.seed, r->broken.size(), r->faults, w, s, r->extras, r->firsts, r->acked, r->orders, r->digest);
+            fmt::print(
+                "seed {}: {} rules broken, {} faults, {} of {} whole, {} extra sends on {}, {} of {} orders "
+                "acknowledged, digest {:016x}\n",
+                o.seed, r->broken.size(), r->faults, w, s, r->extras, r->firsts, r->acked, r->orders,
+                r->digest);
         }
         if (!r->broken.empty()) {
             bad++;
@@ -1565,7 +1728,8 @@
 #include "test.hpp"
 namespace dt {
 
-static auto sim(std::uint64_t seed, std::vector<Str> faults, double perMinute, Str broken = "", double scale = 0.5) -> SimResult {
+static auto sim(std::uint64_t seed, std::vector<Str> faults, double perMinute, Str broken = "",
+    double scale = 0.5) -> SimResult {
     auto o = SimOptions();
     o.example = DT_EXAMPLES "/radar";
     o.seed = seed;
@@ -1596,21 +1760,25 @@
         Str rule;
         double scale = 0.5;
     };
-    auto vs = std::vector<Variant>{{"resend-any", {"server-crash", "server-cut"}, 30, 4, "a stream that cannot be resumed never runs twice"},
+    auto vs = std::vector<Variant>{{"resend-any", {"server-crash", "server-cut"}, 30, 4,
+                                       "a stream that cannot be resumed never runs twice"},
         {"join-any", {"server-skip"}, 30, 4, "nothing is dropped, repeated or joined wrongly"},
         {"ignore-home", {"crowd"}, 12, 2, "a home region is never left"},
-        {"no-budget", {"server-cut", "server-crash", "server-deny"}, 300, 16, "extra tries stay near a fifth"},
+        {"no-budget", {"server-cut", "server-crash", "server-deny"}, 300, 16,
+            "extra tries stay near a fifth"},
         {"no-ramp", {"server-cold", "crowd"}, 40, 8, "a cold server is eased in", 1},
         {"cut-looks-whole", {"server-cut", "server-crash"}, 30, 8, "a cut reply never looks whole"},
         {"ignore-leaving", {"leave"}, 20, 4, "nothing new reaches a leaving server"},
-        {"no-lease", {"cut-node", "config", "empty"}, 60, 8, "an acknowledged configuration is obeyed within 3 s"},
+        {"no-lease", {"cut-node", "config", "empty"}, 60, 8,
+            "an acknowledged configuration is obeyed within 3 s"},
         {"ack-early", {"wipe-after-ack"}, 1, 8, "an acknowledged configuration is obeyed within 3 s"},
         {"old-word", {"config", "crash", "cut-node"}, 60, 16, "no node slips back"},
         {"no-quorum", {"core-split", "config", "race"}, 60, 4, "one leader a term"}};
     for (auto& v : vs) {
         auto seen = 0;
         for (auto s = 1; s <= v.seeds && !seen; s++)
-            for (auto& b : sim(std::uint64_t(s), v.faults, v.perMinute, v.name, v.scale).broken) seen += b.starts_with(v.rule);
+            for (auto& b : sim(std::uint64_t(s), v.faults, v.perMinute, v.name, v.scale).broken)
+                seen += b.starts_with(v.rule);
         CPPUNIT_ASSERT_MESSAGE(v.name + " was not seen", seen > 0);
     }
 }
--- a/src/simulate.hpp
+++ b/src/simulate.hpp
@@ -6,16 +6,16 @@
 namespace dt {
 
 struct SimOptions {
-    Str example;                // a folder such as examples/radar
+    Str example;  // a folder such as examples/radar
     std::uint64_t seed = 1;
     Us duration = 60 * SEC;
-    double scale = 1;           // on all rates of senders
-    std::vector<Str> faults;    // kinds, see simFaults(); empty: none
-    double perMinute = 12;      // how many faults
-    Str broken;                 // a deliberate fault in the logic, see simBroken()
-    Str place;                  // "", "random" or "least": a simpler placement, for comparison
+    double scale = 1;         // on all rates of senders
+    std::vector<Str> faults;  // kinds, see simFaults(); empty: none
+    double perMinute = 12;    // how many faults
+    Str broken;               // a deliberate fault in the logic, see simBroken()
+    Str place;                // "", "random" or "least": a simpler placement, for comparison
     bool quiet = true;
-    Us leaveLimit = 5 * SEC;    // nothing new reaches a leaving server later than this
+    Us leaveLimit = 5 * SEC;  // nothing new reaches a leaving server later than this
 };
 
 struct SimKind {
@@ -23,14 +23,15 @@
     std::vector<Us> took, first;
 };
 struct SimResult {
-    std::vector<Str> broken;    // rules that did not hold, the first ones
-    std::vector<Str> trace;     // what happened, up to the first
+    std::vector<Str> broken;  // rules that did not hold, the first ones
+    std::vector<Str> trace;   // what happened, up to the first
     std::map<Str, SimKind> kinds;
-    std::int64_t sends = 0, firsts = 0, extras = 0, execs = 0, cacheHits = 0, prompts = 0, tokensRead = 0, tokensAgain = 0, orders = 0, acked = 0, unknown = 0, faults = 0;
+    std::int64_t sends = 0, firsts = 0, extras = 0, execs = 0, cacheHits = 0, prompts = 0, tokensRead = 0,
+                 tokensAgain = 0, orders = 0, acked = 0, unknown = 0, faults = 0;
     std::int64_t wordGen = 0, reign = 0;
-    Us lastDisobedient = 0;     // longest time from an acknowledged order to a send against it
-    Us recovery = 0;            // from everything killed to the next whole reply
-    std::uint64_t digest = 0;   // of the whole trace: the same seed gives the same
+    Us lastDisobedient = 0;    // longest time from an acknowledged order to a send against it
+    Us recovery = 0;           // from everything killed to the next whole reply
+    std::uint64_t digest = 0;  // of the whole trace: the same seed gives the same
     std::map<Str, std::int64_t> counters;
 };
 struct SimError {
--- a/src/store.cpp
+++ b/src/store.cpp
@@ -24,7 +24,8 @@
 template <class T>
 static auto unpack(View s, T& t) -> bool {
     try {
-        auto b = std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t*>(const_cast<char*>(s.data())), std::uint32_t(s.size()));
+        auto b = std::make_shared<TMemoryBuffer>(
+            reinterpret_cast<std::uint8_t*>(const_cast<char*>(s.data())), std::uint32_t(s.size()));
         auto p = TCompactProtocol(b);
         t.read(&p);
         return true;
@@ -70,7 +71,9 @@
 }
 
 auto Store::tryOpen(const Str& dir) -> tl::expected<DiskState, StoreError> {
-    auto no = [](Str what, int rc) { return tl::make_unexpected(StoreError{fmt::format("{}: {}", what, mdb_strerror(rc))}); };
+    auto no = [](Str what, int rc) {
+        return tl::make_unexpected(StoreError{fmt::format("{}: {}", what, mdb_strerror(rc))});
+    };
     auto rc = mdb_env_create(&env_);
     if (rc) return no("create", rc);
     mdb_env_set_mapsize(env_, 256u << 20);
@@ -96,7 +99,9 @@
             } else if (key == "meta") {
                 auto m = wire::Meta();
                 if (!unpack(val, m)) bad = "the record of the voter cannot be read";
-                else if (m.format > FORMAT) bad = fmt::format("written in format {}, this program knows {}", m.format, FORMAT), newer = true;
+                else if (m.format > FORMAT)
+                    bad = fmt::format("written in format {}, this program knows {}", m.format, FORMAT),
+                    newer = true;
                 s.disk = m.disk;
                 s.reign = m.reign;
                 s.term = m.term;
@@ -207,7 +212,9 @@
     }
 };
 static auto same(const DiskState& a, const DiskState& b) -> bool {
-    return a.disk == b.disk && a.reign == b.reign && a.term == b.term && a.vote == b.vote && a.commit == b.commit && a.snapIdx == b.snapIdx && a.snapTerm == b.snapTerm && a.snapDoc == b.snapDoc && a.log == b.log;
+    return a.disk == b.disk && a.reign == b.reign && a.term == b.term && a.vote == b.vote
+        && a.commit == b.commit && a.snapIdx == b.snapIdx && a.snapTerm == b.snapTerm
+        && a.snapDoc == b.snapDoc && a.log == b.log;
 }
 
 // Random writes to LMDB and to a plain state side by side; reopened now and then, they agree.
@@ -226,7 +233,8 @@
             w.meta.disk = "d";
             w.meta.term = m.term + std::int64_t(r.below(2));
             w.meta.vote = fmt::format("v{}", r.below(3));
-            if (last > m.snapIdx && r.chance(.2)) w.cut = m.snapIdx + 1 + std::int64_t(r.below(std::uint64_t(last - m.snapIdx)));
+            if (last > m.snapIdx && r.chance(.2))
+                w.cut = m.snapIdx + 1 + std::int64_t(r.below(std::uint64_t(last - m.snapIdx)));
             auto at = w.cut >= 0 ? w.cut : last + 1;
             for (auto n = r.below(4); n > 0; n--) {
                 auto e = wire::Entry();
--- a/src/word.cpp
+++ b/src/word.cpp
@@ -42,11 +42,15 @@
     auto& ms = v["mappings"];
     for (auto i = 0u; i < ms.Size(); i++) {
         auto n = jsStr(ms[i], "name"), m = jsStr(ms[i], "model");
-        if (std::find(names.begin(), names.end(), n) != names.end()) f.push_back({fmt::format("/mappings/{}/name", i), "named twice: " + n});
+        if (std::find(names.begin(), names.end(), n) != names.end())
+            f.push_back({fmt::format("/mappings/{}/name", i), "named twice: " + n});
         names.push_back(n);
-        if (!m.empty() && !(v.HasMember("models") && v["models"].HasMember(m))) f.push_back({fmt::format("/mappings/{}/model", i), "no such model under /models: " + m});
-        if (jsBool(ms[i], "Resumable") && !jsBool(ms[i], "stream")) f.push_back({fmt::format("/mappings/{}/Resumable", i), "only a stream can be resumed"});
-        if (ms[i].HasMember("home") && ms[i].HasMember("spill")) f.push_back({fmt::format("/mappings/{}/spill", i), "a mapping with a home never spills"});
+        if (!m.empty() && !(v.HasMember("models") && v["models"].HasMember(m)))
+            f.push_back({fmt::format("/mappings/{}/model", i), "no such model under /models: " + m});
+        if (jsBool(ms[i], "Resumable") && !jsBool(ms[i], "stream"))
+            f.push_back({fmt::format("/mappings/{}/Resumable", i), "only a stream can be resumed"});
+        if (ms[i].HasMember("home") && ms[i].HasMember("spill"))
+            f.push_back({fmt::format("/mappings/{}/spill", i), "a mapping with a home never spills"});
     }
     return f;
 }
@@ -58,8 +62,10 @@
 }
 auto errorBody(const std::vector<Fault>& fs) -> Str {
     auto l = Str();
-    for (auto& f : fs) l += (l.empty() ? "" : ",") + bodyOf({{"path", jsQuote(f.path)}, {"why", jsQuote(f.why)}});
-    return bodyOf({{"error", jsQuote(fs.empty() ? "denied" : fs[0].path + ": " + fs[0].why)}, {"faults", "[" + l + "]"}});
+    for (auto& f : fs)
+        l += (l.empty() ? "" : ",") + bodyOf({{"path", jsQuote(f.path)}, {"why", jsQuote(f.why)}});
+    return bodyOf({{"error", jsQuote(fs.empty() ? "denied" : fs[0].path + ": " + fs[0].why)},
+        {"faults", "[" + l + "]"}});
 }
 
 Word::Word() {
@@ -80,7 +86,9 @@
 
 auto Word::found(const std::vector<Str>& ro, const std::vector<Seat>& vs) -> void {
     auto n = Doc();
-    jsParse(R"({"reign":0,"generation":0,"configGeneration":0,"config":{"mappings":[]},"empties":{},"plan":[],"roster":[],"voters":[],"outcomes":[]})", n);
+    jsParse(
+        R"({"reign":0,"generation":0,"configGeneration":0,"config":{"mappings":[]},"empties":{},"plan":[],"roster":[],"voters":[],"outcomes":[]})",
+        n);
     d.Swap(n);
     for (auto& r : ro) d["roster"].PushBack(Val(r, d.GetAllocator()), d.GetAllocator());
     reign = 1;
@@ -114,7 +122,11 @@
 auto Word::setVoters(const std::vector<Seat>& vs) -> void {
     auto& al = d.GetAllocator();
     auto a = Val(rapidjson::kArrayType);
-    for (auto& v : vs) a.PushBack(Val(rapidjson::kObjectType).AddMember("seat", Val(v.seat, al), al).AddMember("disk", Val(v.disk, al), al), al);
+    for (auto& v : vs)
+        a.PushBack(Val(rapidjson::kObjectType)
+                       .AddMember("seat", Val(v.seat, al), al)
+                       .AddMember("disk", Val(v.disk, al), al),
+            al);
     d["voters"] = a;
 }
 
@@ -136,7 +148,11 @@
     auto b = Doc(&al);
     jsParse(o.body, b);
     auto& a = d["outcomes"];
-    a.PushBack(Val(rapidjson::kObjectType).AddMember("key", Val(key, al), al).AddMember("status", o.status, al).AddMember("body", Val(b, al), al), al);
+    a.PushBack(Val(rapidjson::kObjectType)
+                   .AddMember("key", Val(key, al), al)
+                   .AddMember("status", o.status, al)
+                   .AddMember("body", Val(b, al), al),
+        al);
     while (a.Size() > 256) a.Erase(a.Begin());
 }
 
@@ -147,7 +163,9 @@
     auto no = [](int st, Str why) { return Outcome{st, bodyOf({{"error", jsQuote(why)}})}; };
     if (op == "config") {
         if (!planned && jsInt(o, "base", -1) != configGen())
-            return {409, bodyOf({{"error", jsQuote("based on a generation that is not the newest")}, {"configGeneration", fmt::to_string(configGen())}})};
+            return {409,
+                bodyOf({{"error", jsQuote("based on a generation that is not the newest")},
+                    {"configGeneration", fmt::to_string(configGen())}})};
         d["config"].CopyFrom(o["config"], al);
         d["configGeneration"].SetInt64(configGen() + 1);
         return {200, bodyOf({{"configGeneration", fmt::to_string(configGen())}})};
@@ -162,7 +180,10 @@
     if (op == "book") {
         auto id = fmt::format("m{}", gen + 1);
         auto b = Val(rapidjson::kObjectType);
-        b.AddMember("id", Val(id, al), al).AddMember("at", Val(jsInt(o, "when")), al).AddMember("state", "booked", al).AddMember("move", Val(o["move"], al), al);
+        b.AddMember("id", Val(id, al), al)
+            .AddMember("at", Val(jsInt(o, "when")), al)
+            .AddMember("state", "booked", al)
+            .AddMember("move", Val(o["move"], al), al);
         auto& p = d["plan"];
         p.PushBack(b, al);
         for (auto i = p.Begin(); p.Size() > 500 && i != p.End();)
@@ -222,7 +243,8 @@
     if (op == "empty" || op == "give-back") {
         if (jsStr(m, "district").empty()) f.push_back({path + "/district", "missing"});
         for (auto& k : m.GetObject())
-            if (View n = k.name.GetString(); n != "op" && n != "district") f.push_back({path + "/" + Str(n), "unknown field"});
+            if (View n = k.name.GetString(); n != "op" && n != "district")
+                f.push_back({path + "/" + Str(n), "unknown field"});
     } else if (op == "config") {
         if (!m.HasMember("config")) f.push_back({path + "/config", "missing"});
         else
@@ -231,9 +253,11 @@
     (void)w;
 }
 
-auto orderPrepare(const Word& w, const Str& op, const Str& key, const Str& body, Us wall) -> tl::expected<Str, Outcome> {
+auto orderPrepare(const Word& w, const Str& op, const Str& key, const Str& body, Us wall)
+    -> tl::expected<Str, Outcome> {
     auto b = Doc();
-    if (!jsParse(body.empty() ? "{}" : body, b)) return tl::make_unexpected(Outcome{400, errorBody({{"/", "malformed JSON"}})});
+    if (!jsParse(body.empty() ? "{}" : body, b))
+        return tl::make_unexpected(Outcome{400, errorBody({{"/", "malformed JSON"}})});
     if (!b.IsObject()) return tl::make_unexpected(Outcome{422, errorBody({{"/", "wants an object"}})});
     auto f = std::vector<Fault>();
     auto o = Doc();
@@ -241,14 +265,16 @@
     auto& al = o.GetAllocator();
     auto only = [&](std::initializer_list<View> ks) {
         for (auto& m : b.GetObject())
-            if (std::find(ks.begin(), ks.end(), View(m.name.GetString())) == ks.end()) f.push_back({Str("/") + m.name.GetString(), "unknown field"});
+            if (std::find(ks.begin(), ks.end(), View(m.name.GetString())) == ks.end())
+                f.push_back({Str("/") + m.name.GetString(), "unknown field"});
     };
     o.AddMember("key", Val(key, al), al);
     o.AddMember("op", Val(op == "merge" ? Str("config") : op, al), al);
     if (op == "config" || op == "merge") {
         auto k = op == "merge" ? "patch" : "config";
         only({"base", k});
-        if (!b.HasMember("base") || !b["base"].IsInt64()) f.push_back({"/base", "wants the generation that this is based on"});
+        if (!b.HasMember("base") || !b["base"].IsInt64())
+            f.push_back({"/base", "wants the generation that this is based on"});
         if (!b.HasMember(k)) f.push_back({Str("/") + k, "missing"});
         if (f.empty()) {
             auto c = Doc();
@@ -261,7 +287,9 @@
             o.AddMember("config", Val(c, al), al);
             // A patch laid on another generation than it names must lose, not win by chance.
             if (op == "merge" && jsInt(b, "base") != w.configGen() && f.empty())
-                return tl::make_unexpected(Outcome{409, bodyOf({{"error", jsQuote("based on a generation that is not the newest")}, {"configGeneration", fmt::to_string(w.configGen())}})});
+                return tl::make_unexpected(Outcome{409,
+                    bodyOf({{"error", jsQuote("based on a generation that is not the newest")},
+                        {"configGeneration", fmt::to_string(w.configGen())}})});
         }
     } else if (op == "empty" || op == "give-back") {
         only({"district"});
@@ -323,9 +351,12 @@
 
 TEST(Word, faultsAreNamed) {
     auto w = Word();
-    auto o = order(w, "config", "k", R"({"base":0,"config":{"colour":1,"mappings":[{"name":"a","path":"x","pool":"p","MaxTries":0,"tries":3}]}})");
+    auto o = order(w, "config", "k",
+        R"({"base":0,"config":{"colour":1,"mappings":[{"name":"a","path":"x","pool":"p","MaxTries":0,"tries":3}]}})");
     CHECK_EQ(422, o.status);
-    for (auto p : {"/config/colour", "/config/mappings/0/tries", "/config/mappings/0/MaxTries", "/config/mappings/0/path"}) CHECK(o.body.find(p) != Str::npos);
+    for (auto p : {"/config/colour", "/config/mappings/0/tries", "/config/mappings/0/MaxTries",
+             "/config/mappings/0/path"})
+        CHECK(o.body.find(p) != Str::npos);
     CHECK_EQ(400, order(w, "config", "k", "{\"base\":").status);
     CHECK_EQ(400, order(w, "config", "k", Str(100000, '[')).status);
     CHECK_EQ(422, order(w, "config", "k", "[]").status);
@@ -336,11 +367,16 @@
 
 TEST(Word, mergePatch) {
     // The examples of RFC 7396, appendix A, and what it says of nested nulls.
-    auto t = std::vector<std::array<const char*, 3>>{
-        {R"({"a":"b"})", R"({"a":"c"})", R"({"a":"c"})"}, {R"({"a":"b"})", R"({"b":"c"})", R"({"a":"b","b":"c"})"}, {R"({"a":"b"})", R"({"a":null})", "{}"},
-        {R"({"a":"b","b":"c"})", R"({"a":null})", R"({"b":"c"})"}, {R"({"a":["b"]})", R"({"a":"c"})", R"({"a":"c"})"}, {R"({"a":"c"})", R"({"a":["b"]})", R"({"a":["b"]})"},
-        {R"({"a":{"b":"c"}})", R"({"a":{"b":"d","c":null}})", R"({"a":{"b":"d"}})"}, {R"(["a","b"])", R"(["c","d"])", R"(["c","d"])"}, {R"({"a":"b"})", "[\"c\"]", "[\"c\"]"},
-        {R"({"e":null})", R"({"a":1})", R"({"e":null,"a":1})"}, {"[1,2]", R"({"a":"b","c":null})", R"({"a":"b"})"}, {"{}", R"({"a":{"bb":{"ccc":null}}})", R"({"a":{"bb":{}}})"}};
+    auto t = std::vector<std::array<const char*, 3>>{{R"({"a":"b"})", R"({"a":"c"})", R"({"a":"c"})"},
+        {R"({"a":"b"})", R"({"b":"c"})", R"({"a":"b","b":"c"})"}, {R"({"a":"b"})", R"({"a":null})", "{}"},
+        {R"({"a":"b","b":"c"})", R"({"a":null})", R"({"b":"c"})"},
+        {R"({"a":["b"]})", R"({"a":"c"})", R"({"a":"c"})"},
+        {R"({"a":"c"})", R"({"a":["b"]})", R"({"a":["b"]})"},
+        {R"({"a":{"b":"c"}})", R"({"a":{"b":"d","c":null}})", R"({"a":{"b":"d"}})"},
+        {R"(["a","b"])", R"(["c","d"])", R"(["c","d"])"}, {R"({"a":"b"})", "[\"c\"]", "[\"c\"]"},
+        {R"({"e":null})", R"({"a":1})", R"({"e":null,"a":1})"},
+        {"[1,2]", R"({"a":"b","c":null})", R"({"a":"b"})"},
+        {"{}", R"({"a":{"bb":{"ccc":null}}})", R"({"a":{"bb":{}}})"}};
     for (auto& [a, p, r] : t) {
         auto x = Doc(), y = Doc();
         jsParse(a, x);
@@ -364,7 +400,9 @@
 TEST(Word, planFiresOnce) {
     auto w = Word();
     w.found({"n1"}, {{"n1", "d1"}});
-    CHECK_EQ(200, order(w, "book", "b", R"({"at":"2026-01-31T06:00:00Z","move":{"op":"empty","district":"z"}})").status);
+    CHECK_EQ(200,
+        order(w, "book", "b", R"({"at":"2026-01-31T06:00:00Z","move":{"op":"empty","district":"z"}})")
+            .status);
     auto id = jsStr(w.d["plan"][0], "id");
     auto f = "{\"move\":" + jsQuote(id) + "}";
     CHECK_EQ(200, order(w, "fire", "f1", f).status);
@@ -388,9 +426,14 @@
             auto z = fmt::format("z{}", r.below(3));
             auto base = a.configGen() - std::int64_t(r.below(2));
             auto ops = std::vector<std::pair<Str, Str>>{
-                {"config", fmt::format("{{\"base\":{},\"config\":{}}}", base, ONE_MAPPING)}, {"merge", fmt::format("{{\"base\":{},\"patch\":{{\"name\":\"{}\"}}}}", base, z)},
-                {"empty", "{\"district\":" + jsQuote(z) + "}"}, {"give-back", "{\"district\":" + jsQuote(z) + "}"}, {"book", R"({"at":"2026-01-31T06:00:00Z","move":{"op":"empty","district":"z"}})"},
-                {"cancel", fmt::format("{{\"move\":\"m{}\"}}", r.below(30))}, {"fire", fmt::format("{{\"move\":\"m{}\"}}", r.below(30))}, {"roster", "{\"node\":" + jsQuote(z) + "}"}};
+                {"config", fmt::format("{{\"base\":{},\"config\":{}}}", base, ONE_MAPPING)},
+                {"merge", fmt::format("{{\"base\":{},\"patch\":{{\"name\":\"{}\"}}}}", base, z)},
+                {"empty", "{\"district\":" + jsQuote(z) + "}"},
+                {"give-back", "{\"district\":" + jsQuote(z) + "}"},
+                {"book", R"({"at":"2026-01-31T06:00:00Z","move":{"op":"empty","district":"z"}})"},
+                {"cancel", fmt::format("{{\"move\":\"m{}\"}}", r.below(30))},
+                {"fire", fmt::format("{{\"move\":\"m{}\"}}", r.below(30))},
+                {"roster", "{\"node\":" + jsQuote(z) + "}"}};
             auto& [op, body] = ops[r.below(ops.size())];
             auto p = orderPrepare(a, op, fmt::format("k{}", r.below(40)), body, 5);
             if (!p) continue;
--- a/src/word.hpp
+++ b/src/word.hpp
@@ -51,7 +51,8 @@
 
 /// What a leader does with an operator's request before it is logged: checks it and
 /// lays merge patches onto the word. Gives the entry's text, or the denial.
-auto orderPrepare(const Word& w, const Str& op, const Str& key, const Str& body, Us wall) -> tl::expected<Str, Outcome>;
+auto orderPrepare(const Word& w, const Str& op, const Str& key, const Str& body, Us wall)
+    -> tl::expected<Str, Outcome>;
 /// Every fault of a whole configuration.
 auto configCheck(const Val& v) -> std::vector<Fault>;
 
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -14,7 +14,8 @@
     res.addListener(&col);
     res.addListener(&brief);
     auto run = CppUnit::TestRunner();
-    for (auto i = 1; i < argc; i++) run.addTest(CppUnit::TestFactoryRegistry::getRegistry(argv[i]).makeTest());
+    for (auto i = 1; i < argc; i++)
+        run.addTest(CppUnit::TestFactoryRegistry::getRegistry(argv[i]).makeTest());
     run.run(res);
     CppUnit::CompilerOutputter(&col, std::cerr).write();
     // A suite that holds no test must not pass for a green one.
