--- a/src/ctl.cpp
+++ b/src/ctl.cpp
@@ -28,15 +28,15 @@
                               disks and nodes have both lost their majority
   roster add|remove NODE      the nodes that acknowledge
   order KEY                   what became of the order with this key
-  live                        exchanges under way on this node
-  explain ID                  why that exchange went where it went
+  live                        exchanges under way, on all nodes
+  explain EXCHANGE            why that exchange went where it went (its X-Exchange-Id)
   watch                       each decision as it is made (--once: those remembered)
   where                       where senders are told to go
   beliefs                     all that this node believes
 
 Flags: --json, --base GENERATION (apply, change: the configuration this rests on;
 without it the newest is asked for first), --key KEY (the same key again gets the
-first outcome), --once.
+first outcome), --once, --here (live, watch: of this node only).
 Exit codes: 0 done, 1 denied, 2 wrong use, 3 no reply or not ready, 4 outcome unknown.
 )";
 }
@@ -99,6 +99,17 @@
     return rc == DONE;
 }
 
+// The nodes that this one knows alive, by name, with where their operators go.
+static auto fleet(const CtlOptions& o, int& rc) -> std::vector<std::pair<Str, Str>> {
+    auto d = Doc();
+    auto v = std::vector<std::pair<Str, Str>>();
+    if (!ask(o, "GET", "/v1/beliefs", "", d, rc)) return v;
+    for (auto& n : d["nodes"].GetArray())
+        if (jsBool(n, "alive") && (!o.here || jsStr(n, "node") == jsStr(d, "node")))
+            v.emplace_back(jsStr(n, "node"), jsStr(n, "operator"));
+    return v;
+}
+
 auto ctlRun(const CtlOptions& o, const std::vector<Str>& a) -> int {
     auto use = [&](Str s) {
         fmt::print(stderr, "duneturn ctl: {}\n", s);
@@ -199,13 +210,35 @@
         return rc;
     }
     if (c == "live" && need(0)) {
-        if (ask(o, "GET", "/v1/exchanges", "", d, rc))
-            rows("exchanges",
-                {"id", "mapping", "phase", "server", "ageUs", "sends", "migrationsLeft", "lastEventId"});
-        return rc;
+        auto all = Doc(rapidjson::kArrayType);
+        auto any = false;
+        for (auto& [n, a] : fleet(o, rc)) {
+            auto at = o;
+            at.node = a;
+            if (!ask(at, "GET", "/v1/exchanges", "", d, rc)) continue;
+            any = true;
+            for (auto& x : d["exchanges"].GetArray())
+                all.PushBack(Val(x, all.GetAllocator())
+                                 .AddMember("node", Val(n, all.GetAllocator()), all.GetAllocator()),
+                    all.GetAllocator());
+        }
+        if (!any) return rc ? rc : int(UNREACHED);
+        d.SetObject();
+        d.AddMember("exchanges", Val(all, d.GetAllocator()), d.GetAllocator());
+        rows("exchanges",
+            {"exchange", "mapping", "phase", "server", "ageUs", "sends", "migrationsLeft", "lastEventId"});
+        return DONE;
     }
     if (c == "explain" && need(1)) {
-        if (!ask(o, "GET", "/v1/exchanges/" + a[1], "", d, rc)) return rc;
+        // NODE-BOOT-NUMBER names its node; a bare number is of this one.
+        auto at = o;
+        auto i = a[1].rfind('-');
+        auto j = i == Str::npos || i == 0 ? Str::npos : a[1].rfind('-', i - 1);
+        if (j != Str::npos)
+            for (auto& [n, to] : fleet(o, rc))
+                if (n == a[1].substr(0, j)) at.node = to;
+        if (rc) return rc;
+        if (!ask(at, "GET", "/v1/exchanges/" + a[1], "", d, rc)) return rc;
         if (o.json) show(d);
         else {
             fmt::print("{} ({})\n", jsStr(d, "exchange"), jsStr(d, "mapping"));
@@ -214,18 +247,25 @@
         return rc;
     }
     if (c == "watch" && need(0)) {
-        auto seen = std::int64_t(0);
+        auto seen = std::map<Str, std::int64_t>();
         while (true) {
-            if (!ask(o, "GET", fmt::format("/v1/decisions?after={}", seen), "", d, rc)) return rc;
-            for (auto& x : d["decisions"].GetArray()) {
-                seen = jsInt(x, "seq");
-                if (o.json) fmt::print("{}\n", js(x));
-                else {
-                    fmt::print("{} {} {}\n", jsStr(x, "exchange"), jsStr(x, "mapping"), jsStr(x, "end"));
-                    for (auto& s : x["steps"].GetArray()) fmt::print("  {}\n", s.GetString());
+            auto any = false;
+            for (auto& [n, to] : fleet(o, rc)) {
+                auto at = o;
+                at.node = to;
+                if (!ask(at, "GET", fmt::format("/v1/decisions?after={}", seen[n]), "", d, rc)) continue;
+                any = true;
+                for (auto& x : d["decisions"].GetArray()) {
+                    seen[n] = jsInt(x, "seq");
+                    if (o.json) fmt::print("{}\n", js(x));
+                    else {
+                        fmt::print("{} {} {}\n", jsStr(x, "exchange"), jsStr(x, "mapping"), jsStr(x, "end"));
+                        for (auto& s : x["steps"].GetArray()) fmt::print("  {}\n", s.GetString());
+                    }
                 }
             }
             std::fflush(stdout);
+            if (!any) return rc ? rc : int(UNREACHED);
             if (o.once) return DONE;
             std::this_thread::sleep_for(std::chrono::milliseconds(500));
         }
--- a/src/ctl.hpp
+++ b/src/ctl.hpp
@@ -10,7 +10,7 @@
     Str node;  // any node's operator address
     Str key;
     std::int64_t base = -1;
-    bool json = false, once = false;
+    bool json = false, once = false, here = false;
 };
 auto ctlRun(const CtlOptions& o, const std::vector<Str>& args) -> int;
 auto ctlHelp() -> Str;
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -716,7 +716,7 @@
         r.body() = edge->liveText(now);
     } else if (path.starts_with("/v1/exchanges/") && get) {
         auto l = std::lock_guard(mu_);
-        r.body() = edge->explainText(std::atoll(path.c_str() + 14), now);
+        r.body() = edge->explainText(path.substr(14), now);
         if (r.body().empty()) set({404, errorBody({{"/", "no such exchange is live or remembered here"}})});
     } else if (path == "/v1/decisions" && get) {
         auto l = std::lock_guard(mu_);
--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -796,7 +796,7 @@
     note(x, fmt::format("+{} us {}", now - x.born, how));
     auto t = Str();
     for (auto& l : x.trace) t += (t.empty() ? "" : ",") + jsQuote(l);
-    past_.push_back({++decision_, x.id,
+    past_.push_back({++decision_, x.id, x.exid,
         bodyOf({{"seq", fmt::to_string(decision_)}, {"exchange", jsQuote(x.exid)},
             {"mapping", jsQuote(x.m.name)}, {"end", jsQuote(how)}, {"steps", "[" + t + "]"}})});
     if (past_.size() > 1024) past_.erase(past_.begin(), past_.begin() + 512);
@@ -908,10 +908,13 @@
     for (auto& [id, x] : xs_) o += (o.empty() ? "" : ",") + liveOne(x, now, false);
     return "{\"exchanges\":[" + o + "]}";
 }
-auto Edge::explainText(std::int64_t id, Us now) const -> Str {
-    if (auto x = find(id)) return liveOne(*x, now, true);
+// By its whole name, or by the number at its end.
+auto Edge::explainText(const Str& name, Us now) const -> Str {
+    auto same = [&](const Str& exid, std::int64_t id) { return name == exid || name == fmt::to_string(id); };
+    for (auto& [id, x] : xs_)
+        if (same(x.exid, id)) return liveOne(x, now, true);
     for (auto i = past_.rbegin(); i != past_.rend(); ++i)
-        if (i->id == id) return i->text;
+        if (same(i->exid, i->id)) return i->text;
     return "";
 }
 auto Edge::decisions(std::int64_t after) const -> Str {
--- a/src/edge.hpp
+++ b/src/edge.hpp
@@ -143,7 +143,7 @@
     auto place(Exchange& x, Us now, bool dry) -> Str;
 
     auto liveText(Us now) const -> Str;
-    auto explainText(std::int64_t x, Us now) const -> Str;
+    auto explainText(const Str& name, Us now) const -> Str;
     auto decisions(std::int64_t after) const -> Str;
 
     struct Broken {
@@ -157,7 +157,7 @@
   private:
     struct Past {
         std::int64_t seq, id;
-        Str text;
+        Str exid, text;
     };
     auto rebuild() -> void;
     auto beginning(View body) -> std::uint64_t;
--- a/src/fake_sender.cpp
+++ b/src/fake_sender.cpp
@@ -15,7 +15,8 @@
 namespace {
 
 struct Tally {
-    std::int64_t sent = 0, whole = 0, denied = 0, failed = 0, cut = 0, broken = 0, again = 0;
+    std::int64_t sent = 0, whole = 0, denied = 0, failed = 0, cut = 0, broken = 0, again = 0, broke = 0,
+                 resumed = 0;  // streams cut, and whole all the same
     std::vector<Us> took, first;
 };
 struct Kind : DayKind {
@@ -93,6 +94,16 @@
     auto born = bootNow();
     k.t.sent++;
     auto pause = asio::steady_timer(io);
+    // What the sender holds of a stream; a cut one it picks up at another node.
+    auto last = std::int64_t(0);
+    auto w = Str(), told = Str();
+    auto resumes = 0;
+    auto broken = [&]() -> bool {
+        k.t.broke++;
+        if (told.empty() || last == 0 || ++resumes > 3) return false;
+        where[region].clear();
+        return true;
+    };
     for (auto go = 0; go < 4; go++) {
         if (where[region].empty() || bootNow() - whereAt[region] > 2 * SEC || go) co_await ask(region);
         if (where[region].empty()) {
@@ -113,6 +124,10 @@
         auto q = Req(http::string_to_verb(k.method), path, 11);
         q.set(http::field::host, a);
         q.set("X-Region", region);
+        if (last > 0) {
+            q.set("Last-Event-Id", fmt::to_string(last));
+            q.set("X-Weights", told);
+        }
         q.keep_alive(false);
         q.body() = body;
         q.prepare_payload();
@@ -126,7 +141,11 @@
             ec = e3;
         }
         if (ec) {
-            k.t.failed++;
+            if (last > 0 && broken()) {
+                go = -1;
+                continue;
+            }
+            (last > 0 ? k.t.cut : k.t.failed)++;
             co_return;
         }
         auto st = p.get().result_int();
@@ -134,9 +153,8 @@
         auto streamed = Str(p.get()[http::field::content_type]).starts_with("text/event-stream");
         auto text = Str();
         auto sp = EventSplit();
-        auto last = std::int64_t(0);
         auto done = false, failedMark = false, wrong = false;
-        auto w = Str();
+        if (streamed) told = Str(p.get()["X-Weights"]);
         char buf[16384];
         while (!p.is_done()) {
             p.get().body().data = buf;
@@ -182,6 +200,12 @@
             else if (complete && done && !wrong) {
                 k.t.whole++;
                 k.t.took.push_back(bootNow() - born);
+                if (resumes) k.t.resumed++;
+            } else if (!wrong && broken()) {
+                go = -1;
+                pause.expires_after(std::chrono::milliseconds(500 + rng.below(500)));
+                co_await pause.async_wait(quiet);
+                continue;
             } else k.t.cut++;
             co_return;
         }
@@ -207,12 +231,12 @@
             co_return;
         }
         // Denied and not run: told when to come back, it comes back a few times.
-        if (go == 3) break;
+        if (go == 3 || st < 500) break;
         k.t.again++;
         pause.expires_after(std::chrono::microseconds(SEC / 2 + Us(rng.below(SEC))));
         co_await pause.async_wait(quiet);
     }
-    k.t.denied++;
+    (last > 0 ? k.t.cut : k.t.denied)++;
 }
 
 auto FakeSender::drive(Kind& k, Us end) -> awaitable<void> {
@@ -237,7 +261,8 @@
         o += (o.empty() ? "" : ",") + jsQuote(k.name) + ":"
             + bodyOf({{"sent", fmt::to_string(k.t.sent)}, {"whole", fmt::to_string(k.t.whole)},
                 {"denied", fmt::to_string(k.t.denied)}, {"failed", fmt::to_string(k.t.failed)},
-                {"cut", fmt::to_string(k.t.cut)}, {"broken", fmt::to_string(k.t.broken)},
+                {"cut", fmt::to_string(k.t.cut)}, {"brokeOff", fmt::to_string(k.t.broke)},
+                {"resumed", fmt::to_string(k.t.resumed)}, {"broken", fmt::to_string(k.t.broken)},
                 {"cameBack", fmt::to_string(k.t.again)}, {"p50Us", fmt::to_string(quantile(k.t.took, .5))},
                 {"p99Us", fmt::to_string(quantile(k.t.took, .99))},
                 {"first50Us", fmt::to_string(quantile(k.t.first, .5))},
--- a/src/faults.cpp
+++ b/src/faults.cpp
@@ -161,6 +161,7 @@
             auto p = addrParse(k.st.peer)->port + 1000 + int(frng.below(1000));
             k.st.peer = fmt::format("127.0.0.1:{}", p);
             byAddr[k.st.peer] = c;
+            reseed(k);
             k.wallOff += 1;
         }
         restart(c, span);
@@ -416,6 +417,13 @@
     }
 }
 
+// A new machine's settings name the seeds as they are by then; those of the others do not.
+auto World::reseed(Machine& k) -> void {
+    k.st.seeds.clear();
+    for (auto& x : ms)
+        if (x->core) k.st.seeds.push_back(x->st.peer);
+}
+
 // All processes lose power and two of the three disks are lost with it, so neither disks nor
 // nodes have a majority. Nobody serves until an operator founds a new reign from the disk that
 // is left, which here was the leader's; on a fleet that stands that is denied.
@@ -473,6 +481,7 @@
         byAddr.erase(k.st.peer);
         k.st.peer = fmt::format("127.0.0.1:{}", addrParse(k.st.peer)->port + 1000 + int(frng.below(1000)));
         byAddr[k.st.peer] = c;
+        reseed(k);
     }
     for (auto& x : ms)
         in(SEC + Us(frng.below(SEC)), [this, i = x->i] {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -25,6 +25,7 @@
 DEFINE_int32(workers, 3, "worker threads");
 DEFINE_bool(check, false, "check the settings and stop");
 DEFINE_bool(json, false, "JSON output");
+DEFINE_bool(here, false, "ctl live, watch: of this node only");
 DEFINE_bool(once, false, "ctl watch: show what is remembered, then stop");
 DEFINE_int64(base, -1, "ctl apply, change: the configuration generation this rests on");
 DEFINE_string(key, "", "ctl: idempotency key of an order");
@@ -156,7 +157,8 @@
     auto args = std::vector<Str>(argv + 1, argv + argc);
     if (role == "edge") return daemonMain(false);
     if (role == "core") return daemonMain(true);
-    if (role == "ctl") return ctlRun({FLAGS_node, FLAGS_key, FLAGS_base, FLAGS_json, FLAGS_once}, args);
+    if (role == "ctl")
+        return ctlRun({FLAGS_node, FLAGS_key, FLAGS_base, FLAGS_json, FLAGS_once, FLAGS_here}, args);
     if (role == "compare") {
         if (args.size() == 2) return compareRun(args[0], args[1], FLAGS_json);
         fmt::print(stderr, "duneturn compare: wants two operator addresses\n");
--- a/src/world.hpp
+++ b/src/world.hpp
@@ -203,6 +203,7 @@
     auto countSend(int tr) -> void;
     auto totalLoss(const Str& f) -> void;
     auto ruin() -> void;
+    auto reseed(Machine& k) -> void;
     auto go(int a) -> void;
     auto again(int a, bool later) -> void;
     auto lostTry(int tr) -> void;
