--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -522,6 +522,7 @@
     x.server = s;
     x.a++;
     x.wrote = false;
+    x.paced = 0;
     x.lastByte = x.sentAt = now;
     fit_[s].inflight++;
     x.counted = true;
@@ -683,9 +684,40 @@
     if (auto x = get(id, a)) x->lastByte = now;
 }
 
+// A server that crawls is as good as lost to a stream that may move: once a stream, and only
+// where another server would take it now, for a stream is better slow than cut.
+auto Edge::slow(Exchange& x, Us gap, Us now) -> bool {
+    auto& f = fit_[x.server];
+    f.pace = f.pace > 0 ? f.pace * 0.9 + double(gap) * 0.1 : double(gap);
+    x.pace = x.paced++ ? x.pace * 0.8 + double(gap) * 0.2 : double(gap);
+    if (x.paced < 8 || x.pace < double(100 * MS) || x.moved > 0 || !x.m.resumable || x.left() <= 0)
+        return false;
+    auto v = std::vector<double>();
+    for (auto& [n, s] : n_.servers())
+        if (auto i = fit_.find(n); i != fit_.end() && s.l.pool == x.m.pool && i->second.pace > 0)
+            v.push_back(i->second.pace);
+    if (v.size() < 3) return false;
+    std::nth_element(v.begin(), v.begin() + std::ptrdiff_t(v.size() / 2), v.end());
+    if (x.pace < 5 * v[v.size() / 2]) return false;
+    hurt(x.server, 0.5, now);
+    if (credit_ < cost(x) || !bind(x)) return false;
+    auto was = x.ranBefore;
+    x.ranBefore = true;
+    x.tried.push_back(x.server);
+    auto to = bar(x, true).empty() && now < x.due ? place(x, now, true) : "";
+    x.tried.pop_back();
+    x.ranBefore = was;
+    if (to.empty() || to == x.server) return false;
+    ct_.add("slow_moved_total");
+    again(x, true, fmt::format("an event every {:.0f} us, where others need {:.0f}", x.pace, v[v.size() / 2]),
+        now);
+    return true;
+}
+
 auto Edge::upEvent(std::int64_t id, int a, const Event& e, Us now) -> void {
     auto x = get(id, a);
     if (!x) return;
+    auto gap = now - x->lastByte;
     x->lastByte = now;
     if (!e.id.empty() && x->counting) {
         auto n = whole(e.id);
@@ -723,7 +755,7 @@
         po_.end(x->id, true);
         tally(*x, x->tries > 1 ? "whole_moved" : "whole");
         finish(*x, "whole", now);
-    }
+    } else if (x->last > 0) slow(*x, gap, now);
 }
 
 auto Edge::upWhole(std::int64_t id, int a, int status, const Headers& h, const Str& body, Us now) -> void {
--- a/src/edge.hpp
+++ b/src/edge.hpp
@@ -69,6 +69,7 @@
     double fit = 1;
     Us at = 0, seen = 0;
     double first = 0;  // smoothed time to the first byte
+    double pace = 0;   // smoothed time from one event to the next
 };
 
 /// Where an exchange stands; ExchangeMachine (edge.cpp) says what may follow what.
@@ -91,6 +92,8 @@
     bool ranBefore = false;  // an earlier send may have run
     bool everRan = false;    // of any send, unless the server denied it
     bool headSent = false, counted = true, begun = false;
+    double pace = 0;          // smoothed time between events of the present send
+    int paced = 0;            // how many of them there were
     std::int64_t last = -1;   // id of the newest event delivered; -1: none was
     bool counting = true;     // ids so far were whole numbers rising by one
     std::int64_t seq = 0;     // prompt and events so far, in tokens as estimated here
@@ -174,6 +177,7 @@
     auto unqueue(Exchange& x) -> void;
     auto start(Exchange& x, Us now) -> bool;
     auto release(Exchange& x) -> void;
+    auto slow(Exchange& x, Us gap, Us now) -> bool;
     auto again(Exchange& x, bool ran, const Str& why, Us now) -> void;
     auto fail(Exchange& x, int status, const Str& why, Us now) -> void;
     auto finish(Exchange& x, const Str& how, Us now) -> void;
--- a/src/fake_sender.cpp
+++ b/src/fake_sender.cpp
@@ -111,10 +111,18 @@
             co_await pause.async_wait(quiet);
             continue;
         }
-        auto a = where[region][rng.below(where[region].size())];
+        // One of them, and the next where nobody is.
+        auto a = Str();
         auto s = beast::tcp_stream(io);
-        s.expires_after(std::chrono::seconds(2));
-        auto [e1] = co_await s.async_connect(endpoint(a), quiet);
+        auto e1 = beast::error_code(asio::error::host_not_found);
+        for (auto v = where[region]; e1 && !v.empty();) {
+            auto i = rng.below(v.size());
+            a = v[i];
+            v.erase(v.begin() + std::ptrdiff_t(i));
+            s.close();
+            s.expires_after(std::chrono::seconds(2));
+            std::tie(e1) = co_await s.async_connect(endpoint(a), quiet);
+        }
         if (e1) {
             where[region].clear();
             k.t.again++;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -1096,8 +1096,12 @@
         v.push_back({r.district == district ? 0 : r.region == rg ? 1 : 2, &r});
     };
     see(me_);
-    for (auto& [n, k] : rows_)
-        if (now - k.at < ALIVE) see(k.r);
+    // A sender sent to a node that is gone loses a try, so one that is late is not named while
+    // there are others.
+    for (auto lim : {LATE, ALIVE})
+        if (lim == LATE || v.empty())
+            for (auto& [n, k] : rows_)
+                if (now - k.at < lim) see(k.r);
     auto key = rg + "/" + district + fmt::to_string(now / SEC);  // callers are spread
     std::sort(v.begin(), v.end(), [&](auto& a, auto& b) {
         return a.first != b.first ? a.first < b.first : rank(key, a.second->node) > rank(key, b.second->node);
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -10,6 +10,7 @@
 constexpr Us BEAT = 200 * MS;         // how often a node speaks of itself
 constexpr Us LEASE = 2 * SEC;         // how old the proof may be that the newest word is held
 constexpr Us ALIVE = 1500 * MS;       // silence after which a node is thought gone
+constexpr Us LATE = 800 * MS;        // silence after which senders are not sent to a node
 constexpr Us FORGET = 30 * SEC;       // silence after which a node's row is dropped
 constexpr Us LISTED = 15 * SEC;       // a listing not told again for this long lapses
 constexpr Us MARKED = 60 * SEC;       // a leaving mark not told again for this long lapses
--- a/src/simulate.cpp
+++ b/src/simulate.cpp
@@ -495,15 +495,17 @@
         for (auto& n : d["nodes"].GetArray())
             if (v.empty() || jsStr(n, "region") == x.region) v.push_back(jsStr(n, "address"));
         if (v.empty()) return again(a, true);
-        auto addr = v[rng.below(v.size())];
+        // One of them, and the next where nobody is.
         auto to1 = -1;
-        for (auto& m : ms)
-            if (m->st.sender == addr) to1 = m->i;
-        (void)life;
-        if (to1 < 0 || !ms[std::size_t(to1)]->up) {
-            in(lat(), [this, a] { again(a, false); });
-            return;
+        auto late = Us(0);
+        for (; !v.empty() && to1 < 0; late += lat()) {
+            auto i = rng.below(v.size());
+            for (auto& m : ms)
+                if (m->st.sender == v[i] && m->up) to1 = m->i;
+            v.erase(v.begin() + std::ptrdiff_t(i));
         }
+        (void)life;
+        if (to1 < 0) return again(a, true);
         auto l2 = ms[std::size_t(to1)]->life;
         auto tr = int(trs.size());
         trs.push_back({});
@@ -512,7 +514,7 @@
         trs.back().life = l2;
         trs.back().last = trs.back().from = x.last;
         trs.back().said = x.weights;
-        in(lat() * 2, [this, tr, to1, l2] {
+        in(late + lat(), [this, tr, to1, l2] {
             auto& m = *ms[std::size_t(to1)];
             auto& T = trs[std::size_t(tr)];
             if (!m.up || m.life != l2) return lostTry(tr);
@@ -652,6 +654,9 @@
     }
     if (not1) {
         T.over = T.notRun = true;
+        auto d = Doc();
+        auto why = jsParse(body, d) && d.IsObject() ? jsStr(d, "error") : Str();
+        r.denials[(T.from ? "resumed: " : "") + why.substr(0, 70)]++;
         if (!T.execs.empty()) broke("what was denied has not run", fmt::format("try {} of {}", tr, k.name));
         if (status >= 500) return again(T.ask, true);
         // It may not: coming back changes nothing.
@@ -1042,12 +1047,14 @@
             fmt::print(stderr, "duneturn simulate: {}\n", r.error().why);
             return 2;
         }
-        auto ks = Str();
+        auto ks = Str(), ds = Str();
+        for (auto& [n, k] : r->denials) ds += fmt::format("{}{}:{}", ds.empty() ? "" : ",", jsQuote(n), k);
         for (auto& [n, k] : r->kinds)
             ks += (ks.empty() ? "" : ",") + jsQuote(n) + ":"
                 + bodyOf({{"sent", fmt::to_string(k.sent)}, {"whole", fmt::to_string(k.whole)},
                     {"moved", fmt::to_string(k.moved)}, {"denied", fmt::to_string(k.denied)},
                     {"failed", fmt::to_string(k.failed)}, {"cut", fmt::to_string(k.cut)},
+                    {"broke", fmt::to_string(k.broke)}, {"resumed", fmt::to_string(k.resumed)},
                     {"spilled", fmt::to_string(k.spilled)}, {"p50Us", fmt::to_string(quantile(k.took, .5))},
                     {"p99Us", fmt::to_string(quantile(k.took, .99))},
                     {"first50Us", fmt::to_string(quantile(k.first, .5))},
@@ -1064,7 +1071,12 @@
             {"acknowledged", fmt::to_string(r->acked)}, {"unknown", fmt::to_string(r->unknown)},
             {"lastDisobedientUs", fmt::to_string(r->lastDisobedient)},
             {"recoveryUs", fmt::to_string(r->recovery)}, {"configGeneration", fmt::to_string(r->wordGen)},
-            {"reign", fmt::to_string(r->reign)}, {"kinds", "{" + ks + "}"}});
+            {"reign", fmt::to_string(r->reign)}, {"denials", "{" + ds + "}"},
+            {"worstMinute", fmt::to_string(r->worstMinute)},
+            {"ackP50Us", fmt::to_string(quantile(r->ackTook, .5))},
+            {"ackP99Us", fmt::to_string(quantile(r->ackTook, .99))},
+            {"markP50Us", fmt::to_string(quantile(r->markTook, .5))},
+            {"markP99Us", fmt::to_string(quantile(r->markTook, .99))}, {"kinds", "{" + ks + "}"}});
         if (json) fmt::print("{}\n", line);
         else {
             auto s = std::int64_t(0), w = std::int64_t(0);
@@ -1159,7 +1171,7 @@
                  "an acknowledged configuration is obeyed within 3 s"},
         {"no-lease", {"cut-node", "cut-district", "empty"}, 60, 8, "nothing new reaches an emptied zone"},
         {"ack-early", {"wipe-after-ack"}, 1, 8, "orders are linearizable"},
-        {"old-word", {"config", "crash", "cut-node"}, 60, 16, "no node slips back"},
+        {"old-word", {"config", "crash", "cut-node"}, 60, 16, "no node slips back", 0.2},
         {"no-quorum", {"core-split", "config", "race"}, 60, 4, "one leader a term"},
         {"no-serve", {"total-loss"}, 1, 4, "serving is back within 12 s of a total loss"},
         {"no-serve", {"crash-many"}, 30, 4, "each kind is served once nothing is wrong"},
--- a/src/simulate.hpp
+++ b/src/simulate.hpp
@@ -30,12 +30,13 @@
     std::int64_t sends = 0, firsts = 0, extras = 0, execs = 0, cacheHits = 0, prompts = 0, tokensRead = 0,
                  tokensAgain = 0, orders = 0, acked = 0, unknown = 0, faults = 0;
     std::int64_t wordGen = 0, reign = 0;
-    Us lastDisobedient = 0;    // longest time from an acknowledged order to a send against it
-    Us recovery = 0;           // from everything killed to the next whole reply
-    std::uint64_t digest = 0;  // of the whole trace: the same seed gives the same
-    std::vector<Us> ackTook;   // from an order to its acknowledgement
-    std::vector<Us> markTook;  // from a leaving mark to its acknowledgement
-    int worstMinute = 0;       // extra sends in a thousand first ones, over the worst minute
+    Us lastDisobedient = 0;               // longest time from an acknowledged order to a send against it
+    Us recovery = 0;                      // from everything killed to the next whole reply
+    std::uint64_t digest = 0;             // of the whole trace: the same seed gives the same
+    std::map<Str, std::int64_t> denials;  // by reason
+    std::vector<Us> ackTook;              // from an order to its acknowledgement
+    std::vector<Us> markTook;             // from a leaving mark to its acknowledgement
+    int worstMinute = 0;                  // extra sends in a thousand first ones, over the worst minute
     std::map<Str, std::int64_t> counters;
 };
 struct SimError {
