The fleet's membership is learnt from three seeds, without a roster

Cause: a platform that tells a process three seeds only, and where machines come and go under new names, has no roster to count majorities of. In the learnt mode (Settings::learnt) acknowledgement rests on the voters' disks alone, beats go along the tree's edges with what changed only, a seat silent for 2.5 s is given to a spare disk, a replaced disk retires under a new identity, and the listing is one numbered thing that one node tells.

--- a/src/core.cpp
+++ b/src/core.cpp
@@ -257,6 +257,7 @@
     auto s = std::int64_t(0);
     if (pre) {
         a.term = term_ + 1;
+        askedAt_ = now;
     } else {
         term_++;
         vote_ = disk_;
@@ -282,7 +283,7 @@
 auto Voter::won(Us now) -> void {
     if (!turn(*rm_, ct_, EvWon{})) return;
     leader_ = disk_;
-    quorumAt_ = now;
+    quorumAt_ = leadSince_ = now;
     peers_.clear();
     lastBeat_ = 0;
     round_++;
@@ -474,6 +475,22 @@
     return true;
 }
 
+// A generation rises by at most one an entry, so one above what this log could reach stands
+// behind its end. A disk that this log counts as a voter and a later word does not was removed
+// since, and no leader has told it what came after: none can be counting on it. It takes a new
+// identity, so that what it once promised is never mixed up with what it promises next.
+auto Voter::retire(std::int64_t gen, const Str& fresh, Us now) -> bool {
+    if (blank() || leads() || !isVoter(disk_) || gen <= word_.gen + (last() - applied_)) return false;
+    logf("core: disk {} was replaced; it is blank again, as {}", disk_, fresh);
+    disk_ = fresh;
+    ct_.add("retired_total");
+    return abandon(true, now);
+}
+auto Voter::heard(const Str& d) const -> Us {
+    auto i = peers_.find(d);
+    return i == peers_.end() ? 0 : i->second.heard;
+}
+
 // A disk that may take a seat is told the log; once it holds all that is committed
 // it is made a voter, and only then does the seat's lost disk go: one change at a time.
 auto Voter::members(Us now) -> void {
@@ -604,7 +621,10 @@
             && ((leads() && now - quorumAt_ < QUORUM) || (!leader_.empty() && now - heardLeader_ < ELECT));
         auto o = env();
         if (a.pre) {
-            r.granted = a.term > term_ && good && !calm && !diskBad_;
+            // Two that ask at the same time would split the vote: the lower identity gives way.
+            auto mine = role() == Role::Asking && now - askedAt_ < ELECT / 2 && disk_ > e.disk
+                && a.lastTerm == termAt(last()) && a.lastIdx == last();
+            r.granted = a.term > term_ && good && !calm && !mine && !diskBad_;
             r.term = r.granted ? a.term : term_;
             o.__set_voteReply(r);
             po_.voterTell(e.disk, o);
@@ -706,7 +726,8 @@
     if (e.__isset.appendReply && !blank()) {
         auto& r = e.appendReply;
         if (r.term > term_) {
-            higher(r.term, now);
+            // One that is no voter deposes nobody.
+            if (isVoter(e.disk)) higher(r.term, now);
             return;
         }
         if (!leads() || r.term != term_) return;
--- a/src/core.hpp
+++ b/src/core.hpp
@@ -80,6 +80,12 @@
     auto handOver(Us now) -> bool;
     /// Gives up a reign that never had a vote from this disk, or any if `force`.
     auto abandon(bool force, Us now) -> bool;
+    /// A committed word of this reign, of generation `gen`, names the voters without this disk.
+    /// If that is behind all this log holds, the disk becomes a blank one, under the identity `fresh`.
+    auto retire(std::int64_t gen, const Str& fresh, Us now) -> bool;
+    /// When this leader last heard of a disk; 0 if never.
+    auto heard(const Str& disk) const -> Us;
+    auto leadSince() const -> Us { return leadSince_; }
 
     auto role() const -> Role;
     auto blank() const -> bool { return role() == Role::Blank; }
@@ -144,7 +150,7 @@
     std::vector<std::pair<Str, Str>> seats_;
     std::vector<Seat> voters_;  // the newest in the log, committed or not
     Word word_, head_;
-    Us due_ = 0, heardLeader_ = 0, quorumAt_ = 0, lastBeat_ = 0, toldAt_ = 0, handDue_ = 0;
+    Us askedAt_ = 0, leadSince_ = 0, due_ = 0, heardLeader_ = 0, quorumAt_ = 0, lastBeat_ = 0, toldAt_ = 0, handDue_ = 0;
     std::int64_t seq_ = 0, round_ = 0;
     struct Pend {
         std::int64_t seq, last, lastTerm, commit, epoch;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -15,6 +15,11 @@
     me_.opr = s.opr;
     me_.blank = true;
     hints_ = st_.seeds;
+    beat_ = st_.beat ? st_.beat : st_.learnt ? LEARNT_BEAT : BEAT;
+    if (st_.learnt) {
+        alive_ = beat_ * 7 / 2 + 250 * MS;
+        late_ = beat_ * 2 + 250 * MS;
+    }
 }
 auto Node::hints(const std::vector<Str>& v) -> void {
     for (auto& a : v)
@@ -45,12 +50,12 @@
 auto Node::alive(const Str& n, Us now) const -> bool {
     if (n == me_.node) return true;
     auto i = rows_.find(n);
-    return i != rows_.end() && now - i->second.at < ALIVE;
+    return i != rows_.end() && now - i->second.at < alive_;
 }
 auto Node::aliveNodes(Us now) const -> std::vector<Str> {
     auto o = std::vector<Str>{me_.node};
     for (auto& [n, k] : rows_)
-        if (now - k.at < ALIVE) o.push_back(n);
+        if (now - k.at < alive_) o.push_back(n);
     std::sort(o.begin(), o.end());
     return o;
 }
@@ -62,7 +67,7 @@
     };
     see(me_);
     for (auto& [n, k] : rows_)
-        if (now - k.at < ALIVE) see(k.r);
+        if (now - k.at < alive_) see(k.r);
     return b;
 }
 
@@ -92,6 +97,8 @@
         auto key = d + "/" + root;
         std::sort(v.begin(), v.end(), [&](auto& a, auto& b) {
             if ((a == root) != (b == root)) return a == root;
+            // One that still calls itself leader beside a newer one has not been heard since.
+            if (st_.learnt && row(a)->leader != row(b)->leader) return row(b)->leader;
             return rank(key, a) > rank(key, b);
         });
         for (auto i = std::size_t(0); i < v.size(); i++) {
@@ -115,6 +122,11 @@
     me_.reign = word_.reign;
     me_.gen = word_.gen;
     me_.marks.clear();
+    if (st_.learnt) {
+        me_.settled = word_.gen > 0;
+        me_.ready = ready(now_);
+        return;
+    }
     for (auto& [n, s] : servers_)
         if (s.l.state == LEAVING) {
             auto m = wire::Mark();
@@ -133,6 +145,7 @@
     for (auto& [n, s] : servers_) {
         b.listings.push_back(s.l);
         b.listings.back().age = now - s.told;
+        b.listings.back().cold = std::max<Us>(0, s.coldTill - now);
         if (s.seen && now - s.seen < SEEN) {
             b.loads.push_back(s.d);
             b.loads.back().age = now - s.seen;
@@ -208,13 +221,15 @@
         if (r.settled && roster_.count(r.node)) n++;
     };
     see(me_);
+    // Beats that are learnt carry no echoes: there the time is when the row's beat came.
     for (auto& [k, x] : rows_)
-        if (x.t0 && now - x.t0 <= LEASE) see(x.r);
+        if (st_.learnt ? now - x.at < alive_ : x.t0 && now - x.t0 <= LEASE) see(x.r);
     return v * 2 > voterDisks_.size() || n * 2 > roster_.size();
 }
 
 auto Node::fresh(Us now) const -> bool {
     if (broken.noLease) return word_.gen > 0;
+    if (st_.learnt && st_.serveOn) return word_.configGen() > 0;
     return word_.gen > 0 && me_.settled && counted(now, true);
 }
 auto Node::ready(Us now) const -> bool {
@@ -260,7 +275,8 @@
         ct_.add("wire_version_dropped_total");
         return;
     }
-    if (e.__isset.beat) {
+    if (e.__isset.beat && st_.learnt) learntHear(e, now);
+    else if (e.__isset.beat) {
         auto t = tree(now);
         merge(e.beat, e.node, now);
         auto i = t.up.find(me_.node);
@@ -277,7 +293,8 @@
                 // A denial that only says "ask another" is tried again until the time is up.
                 if (e.orderReply.status == 421) {
                     orders_[i].sent = false;
-                    orders_[i].next = now + 200 * MS;
+                    orders_[i].next = now + (st_.learnt ? 250 : 200) * MS;
+                    orders_[i].to.clear();
                     break;
                 }
                 auto o = Outcome{e.orderReply.status, e.orderReply.body};
@@ -333,7 +350,7 @@
         auto& k = i->second;
         if (std::pair(r.boot, r.beat) <= std::pair(k.r.boot, k.r.beat)) continue;
         if (k.r.boot != r.boot) k.t0 = 0;
-        if (!k.at || now - k.at >= ALIVE) ct_.add("node_heard_again_total");
+        if (!k.at || now - k.at >= alive_) ct_.add("node_heard_again_total");
         k.r = r;
         k.at = now;
         for (auto& c : r.echo)
@@ -370,6 +387,7 @@
         if (l.inc != s.l.inc || s.l.state == GONE) s.first = now, s.seen = 0;
         s.l = l;
         s.told = now - l.age;
+        s.coldTill = l.cold > 0 ? now + l.cold : 0;
         listTold_ = std::max(listTold_, s.told);
     }
     // What lay unheard while this process was frozen is older than it says. What its teller
@@ -403,6 +421,16 @@
     if (vt_ && !vt_->blank()) {
         if (std::pair(w.reign, w.gen) > std::pair(heard_.reign, heard_.gen))
             if (auto n = Word(); n.load(w.doc) && n.reign == w.reign && n.gen == w.gen) heard_ = n;
+        if (st_.learnt && w.reign == vt_->reign()) {
+            // Acknowledgement rests on the disks alone, so a newer word may be acted on at once.
+            auto n = Word();
+            if (w.gen <= word_.gen || !n.load(w.doc) || n.reign != w.reign || n.gen != w.gen) return;
+            auto vs = n.voters();
+            if (std::none_of(vs.begin(), vs.end(), [&](auto& v) { return v.disk == vt_->disk(); }))
+                vt_->retire(n.gen, fmt::format("{:016x}", hash64(me_.node, rng_.next())), now);
+            voterWord(n, "", {});
+            return;
+        }
         if (w.reign <= vt_->reign()) return;
         // Two may rebuild at once: a disk that voted in one such reign stays with it.
         // A later rebuild has seen a majority of these seats lost.
@@ -439,7 +467,10 @@
         // Down the tree at once.
         auto t = tree(now_);
         for (auto& k : t.kids(me_.node))
-            if (auto r = row(k)) wordTo(r->peer);
+            // A leader's voters take it from the log.
+            if (auto r = row(k);
+                r && !(st_.learnt && vt_ && vt_->leads() && !r->blank && voterDisks_.count(r->disk)))
+                wordTo(r->peer);
         nextBeat_ = std::min(nextBeat_, now_ + 20 * MS);
     }
     if (!key.empty())
@@ -454,11 +485,11 @@
 
 auto Node::order(std::int64_t id, const Str& op, const Str& key, const Str& body, Us now) -> void {
     auto b = bodyOf({{"op", jsQuote(op)}, {"key", jsQuote(key)}, {"body", jsQuote(body)}});
-    orders_.push_back({id, b, false, now + ORDER, now, false});
+    orders_.push_back({id, b, false, now + ORDER, now, false, ""});
     ct_.add("orders_taken_total");
 }
 auto Node::read(std::int64_t id, Us now) -> void {
-    orders_.push_back({id, "", true, now + 4 * SEC, now, false});
+    orders_.push_back({id, "", true, now + 4 * SEC, now, false, ""});
 }
 
 auto Node::replyTo(const Str& back, std::int64_t id, const Outcome& o) -> void {
@@ -535,6 +566,7 @@
         auto& j = jobs_[i];
         auto out = Outcome();
         if (j.gen && j.o.status != 200 && !j.read) out = j.o;
+        else if (j.gen && st_.learnt) out = j.o;  // a majority of the voters' disks holds it
         else if (j.gen
             && proven(
                 j.p, [&, g = j.gen](auto& r) { return holds(r, g); }, now))
@@ -585,7 +617,8 @@
         "required":["name","address","region","district","pool"],"properties":{
         "name":{"type":"string","minLength":1,"maxLength":200},"address":{"type":"string"},"region":{"type":"string"},"district":{"type":"string"},
         "pool":{"type":"string"},"weights":{"type":"string"},"slots":{"type":"integer","minimum":1,"maximum":10000},
-        "state":{"type":"string","enum":["up","leaving"]},"incarnation":{"type":"integer"}}}}}})";
+        "state":{"type":"string","enum":["up","leaving"]},"incarnation":{"type":"integer"},
+        "coldUs":{"type":"integer","minimum":0}}}}}})";
     auto d = Doc();
     if (!jsParse(body, d)) return po_.done(id, {400, errorBody({{"/", "malformed JSON"}})});
     auto f = jsCheck(d, LISTING);
@@ -598,6 +631,7 @@
         }
     }
     if (!f.empty()) return po_.done(id, {422, errorBody(f)});
+    if (st_.learnt) return learntList(id, d, now);
     auto g = listNo(jsInt(d, "revision"));
     if (g < 0) return po_.done(id, lateBody());
     auto has = std::set<Str>();
@@ -620,6 +654,7 @@
         s.l.inc = inc;
         s.l.gen = g;
         s.told = now;
+        s.coldTill = v.HasMember("coldUs") ? now + jsInt(v, "coldUs") : 0;
         if (s.l.state == LEAVING && was != LEAVING) {
             auto m = wire::Mark();
             m.server = n;
@@ -650,7 +685,7 @@
 auto Node::mark(std::int64_t id, const Str& n, std::int64_t rev, Us now) -> void {
     auto i = servers_.find(n);
     if (i == servers_.end()) return po_.done(id, {404, errorBody({{"/server", "not listed: " + n}})});
-    auto g = listNo(rev);
+    auto g = st_.learnt ? raiseList(now) : listNo(rev);
     if (g < 0) return po_.done(id, lateBody());
     if (i->second.l.state == UP) {
         i->second.l.state = LEAVING;
@@ -662,9 +697,10 @@
     m.server = n;
     m.gen = i->second.l.gen;
     touchMe(now);
-    waits_.push_back({id, {m}, now + 3 * SEC, {}});
     nextBeat_ = now;
     ct_.add("marks_taken_total");
+    if (st_.learnt) return po_.done(id, {200, "{\"held\":true}"});
+    waits_.push_back({id, {m}, now + 3 * SEC, {}});
 }
 
 auto Node::loadSeen(const Str& n, bool ok, bool refused, const wire::Load& d, Us now) -> void {
@@ -692,8 +728,9 @@
     if (vt_) vt_->tick(now);
     touchMe(now);
     if (now >= nextBeat_) {
-        nextBeat_ = now + BEAT;
-        sendBeat(now, true);
+        nextBeat_ = now + beat_;
+        if (st_.learnt) learntSend(now);
+        else sendBeat(now, true);
     }
     for (auto i = rows_.begin(); i != rows_.end();)
         // Told on for FORGET, kept for longer: what has been dropped is not learnt anew from one
@@ -704,14 +741,15 @@
         } else ++i;
     for (auto i = servers_.begin(); i != servers_.end();) {
         auto& s = i->second;
-        auto lim = s.l.state == UP ? LISTED : MARKED;
+        auto lim = s.l.state != UP ? MARKED : st_.learnt ? INT64_MAX : LISTED;
         if (now - s.told >= lim) {
             logf("server {} lapsed from the listing", i->first);
             ct_.add("listings_lapsed_total");
             i = servers_.erase(i);
         } else ++i;
     }
-    if (!me_.settled && word_.gen > 0 && counted(now, false)
+    if (st_.learnt) learntTick(now);
+    else if (!me_.settled && word_.gen > 0 && counted(now, false)
         && (counted(now, true) || listTold_ > started_)) {
         me_.settled = true;
         logf("settled: generation {} of reign {}", word_.gen, word_.reign);
@@ -729,7 +767,7 @@
                   : "stale: no majority heard within the lease, new exchanges are denied");
         ct_.add(f ? "fresh_gained_total" : "fresh_lost_total");
     }
-    if (now >= nextProbe_) {
+    if (st_.probes && now >= nextProbe_) {
         nextProbe_ = now + 500 * MS;
         auto ns = aliveNodes(now);
         for (auto& [n, s] : servers_) {
@@ -774,12 +812,13 @@
                             {"outcome", jsQuote("unknown")}})});
             continue;
         }
-        if (now >= o.next) {
+        auto l = st_.learnt && now < o.next ? led_ : now >= o.next ? leaderNode(now) : Str();
+        if (now >= o.next || (st_.learnt && o.sent && !l.empty() && l != o.to)) {
             o.next = now + SEC;
-            auto l = leaderNode(now);
-            if (l.empty()) o.next = now + 100 * MS;
+            if (l.empty()) o.next = now + (st_.learnt ? 250 : 100) * MS;
             else {
                 o.sent = true;
+                o.to = l;
                 auto id = o.id;
                 auto body = o.body;
                 auto rd = o.read;
@@ -801,19 +840,21 @@
         i++;
     }
     if (vt_) {
-        if (vt_->leads()) {
+        if (st_.learnt) learntSeats(now);
+        else if (vt_->leads()) {
             auto of = std::vector<std::pair<Str, Str>>();
             for (auto& [n, k] : rows_)
-                if (now - k.at < ALIVE && !k.r.disk.empty() && !voterDisks_.count(k.r.disk))
+                if (now - k.at < alive_ && !k.r.disk.empty() && !voterDisks_.count(k.r.disk))
                     of.emplace_back(n, k.r.disk);
             vt_->offer(of);
         }
         auto un = std::vector<Str>();
         for (auto& [n, k] : rows_)
-            if (now - k.at < ALIVE && k.r.blank && voterDisks_.count(k.r.disk)) un.push_back(k.r.disk);
+            if (now - k.at < alive_ && k.r.blank && voterDisks_.count(k.r.disk)) un.push_back(k.r.disk);
         vt_->untold(un);
         fire(now, wall);
-        beginReign(now);
+        if (st_.learnt) learntFound(now);
+        else beginReign(now);
         jobs(now);
         ct_.set("core_leader", vt_->leads());
         ct_.set("core_term", vt_->term());
@@ -832,7 +873,7 @@
     if (!vt_->ready() || now - firedAt_ < 500 * MS) return;
     auto ws = std::vector<Us>{wall};
     for (auto& [n, k] : rows_)
-        if (now - k.at < ALIVE) ws.push_back(k.r.wall + (now - k.at));
+        if (now - k.at < alive_) ws.push_back(k.r.wall + (now - (st_.learnt ? k.told : k.at)));
     std::nth_element(ws.begin(), ws.begin() + std::ptrdiff_t(ws.size() / 2), ws.end());
     auto m = ws[ws.size() / 2];
     for (auto& p : vt_->head().d["plan"].GetArray())
@@ -943,7 +984,7 @@
     if (std::none_of(vs.begin(), vs.end(), [&](auto& x) { return x.disk == me_.disk; }))
         vs.push_back({me_.node, me_.disk});
     for (auto& [k, x] : rows_)
-        if (x.t0 && now - x.t0 <= LEASE) term = std::max(term, x.r.term);
+        if (st_.learnt ? now - x.at < alive_ : x.t0 && now - x.t0 <= LEASE) term = std::max(term, x.r.term);
     w.reign = (w.reign / REIGN + 1) * REIGN + std::int64_t(hash64(me_.disk) % REIGN);
     w.gen++;
     w.setVoters(vs);
@@ -965,7 +1006,7 @@
     if (newest().gen == 0) return no("nothing is held here");
     if (std::pair(reign, gen) != std::pair(newest().reign, newest().gen))
         return no("this is not what is held here");
-    if (!leaderNode(now).empty() || fresh(now)) return no("a majority stands: there is a leader");
+    if (!leaderNode(now).empty() || (st_.learnt ? counted(now, false) : fresh(now))) return no("a majority stands: there is a leader");
     auto disks = std::size_t(0), nodes = std::size_t(0);
     auto newer = Str();
     auto see = [&](const wire::Row& r) {
@@ -975,7 +1016,7 @@
     };
     see(me_);
     for (auto& [k, x] : rows_)
-        if (now - x.at < ALIVE) see(x.r);
+        if (now - x.at < alive_) see(x.r);
     if (disks * 2 > voterDisks_.size()) return no("a majority of the disks stands; they elect a leader");
     if (nodes * 2 > roster_.size()) return no("a majority of the nodes stands; they rebuild by themselves");
     if (!newer.empty()) return no(newer + " holds a newer word; it comes here by itself");
@@ -991,7 +1032,8 @@
 auto Node::leave(Us now) -> void {
     me_.stopping = true;
     if (vt_) vt_->handOver(now);
-    sendBeat(now, true);
+    if (st_.learnt) learntSend(now);
+    else sendBeat(now, true);
 }
 
 auto Node::diskDone(std::int64_t seq, bool ok, Us now) -> void {
@@ -1036,7 +1078,7 @@
             + bodyOf({{"node", jsQuote(r.node)}, {"boot", fmt::to_string(r.boot)},
                 {"district", jsQuote(r.district)}, {"region", jsQuote(r.region)}, {"peer", jsQuote(r.peer)},
                 {"sender", jsQuote(r.sender)}, {"operator", jsQuote(r.opr)},
-                {"alive", age < ALIVE ? "true" : "false"}, {"ageUs", fmt::to_string(age)},
+                {"alive", age < alive_ ? "true" : "false"}, {"ageUs", fmt::to_string(age)},
                 {"provenUs", t0 ? fmt::to_string(now - t0) : "null"}, {"reign", fmt::to_string(r.reign)},
                 {"generation", fmt::to_string(r.gen)}, {"settled", r.settled ? "true" : "false"},
                 {"ready", r.ready ? "true" : "false"}, {"disk", jsQuote(r.disk)},
@@ -1100,8 +1142,8 @@
     see(me_);
     // A sender sent to a node that is gone loses a try, so one that is late is not named while
     // there are others.
-    for (auto lim : {LATE, ALIVE})
-        if (lim == LATE || v.empty())
+    for (auto lim : {late_, alive_})
+        if (lim == late_ || v.empty())
             for (auto& [n, k] : rows_)
                 if (now - k.at < lim) see(k.r);
     auto key = rg + "/" + district + fmt::to_string(now / SEC);  // callers are spread
@@ -1116,4 +1158,477 @@
     return "{\"nodes\":[" + o + "]}";
 }
 
+// ---- learnt membership
+//
+// No roster: a node learns of the others from three seeds and from whoever it speaks to. Beats go
+// along the edges of the relays' tree, and each carries only what its neighbour has not been told:
+// a row when its version rose, a pulse when only its beat did. Nothing goes back to the one it
+// came from.
+
+auto Node::places() const -> std::vector<Str> {
+    auto v = hints_;
+    auto put = [&](const Str& a) {
+        if (std::find(v.begin(), v.end(), a) == v.end()) v.push_back(a);
+    };
+    for (auto& [n, k] : rows_) put(k.r.peer);
+    v.erase(std::remove(v.begin(), v.end(), me_.peer), v.end());
+    return v;
+}
+
+// The version of the own row rises with whatever others act on; the beat alone is a pulse.
+auto Node::ownVersion(Us now) -> void {
+    touchMe(now);
+    me_.wall = wall_;
+    auto what = [](const wire::Row& r) {
+        return std::tie(r.peer, r.sender, r.opr, r.reign, r.gen, r.settled, r.disk, r.blank, r.term, r.leader,
+            r.ready, r.stopping, r.boot);
+    };
+    auto off = wall_ - now;
+    auto far = [](std::int64_t a, std::int64_t b) { return std::abs(a - b) * 4 > std::abs(b) + 4; };
+    if (me_.version && what(me_) == what(said_) && std::abs(off - saidOff_) < SEC
+        && !far(me_.credit, said_.credit) && !far(me_.want, said_.want))
+        return;
+    me_.version++;
+    said_ = me_;
+    saidOff_ = off;
+}
+
+auto Node::rowOf(const Str& n, Us now) const -> wire::Row {
+    if (n == me_.node) return me_;
+    auto& k = rows_.at(n);
+    auto r = k.r;
+    r.wall += now - k.told;
+    r.age = now - k.at;
+    return r;
+}
+
+// Tells `n` what it lacks; `whole`: all that is alive here, `own`: of this node alone.
+auto Node::learntBeat(const Str& n, bool whole, bool own, Us now) -> bool {
+    auto to = row(n);
+    if (!to || n == me_.node) return false;
+    auto& t = told_[n];
+    t.at = now;
+    if (now - t.wholeAt >= 15 * SEC) {  // what was told may have been lost
+        t.wholeAt = now;
+        t.rows.clear();
+    }
+    if (whole) t.rows.clear();
+    auto b = wire::Beat();
+    auto put = [&](const wire::Row& r) {
+        auto& o = t.rows[r.node];
+        if (o.boot != r.boot || o.version != r.version) b.rows.push_back(rowOf(r.node, now));
+        else if (o.beat != r.beat) {
+            auto p = wire::Pulse();
+            p.node = r.node;
+            p.boot = r.boot;
+            p.beat = r.beat;
+            p.version = r.version;
+            b.pulses.push_back(p);
+        } else return;
+        o = {r.boot, r.version, r.beat};
+    };
+    put(me_);
+    if (!own) {
+        for (auto& [x, k] : rows_)
+            if (x != n && now - k.at < alive_ && (whole || k.from != n)) put(k.r);
+        for (auto i = t.rows.begin(); i != t.rows.end();)
+            if (i->first != me_.node && !rows_.count(i->first)) i = t.rows.erase(i);
+            else ++i;
+        b.listNo = listNo_;
+        auto lacks = listNo_ > 0 && t.listNo < listNo_ && (t.listNo >= 0 || whole || n != parent_);
+        if (lacks && (whole || t.saidNo != listNo_ || now - t.saidAt >= 3 * beat_)) {
+            auto has = [&](std::int64_t x) { return std::find(lists_.begin(), lists_.end(), x) != lists_.end(); };
+            auto base = t.listNo;
+            if (!whole && t.saidNo > base && now - t.saidAt < 3 * beat_) base = t.saidNo;
+            if (base <= 0 || !has(base)) base = 0;
+            b.listBase = base;
+            for (auto& [x, s] : servers_)
+                if (s.l.gen > base) {
+                    b.listings.push_back(s.l);
+                    b.listings.back().age = now - s.told;
+                    b.listings.back().cold = std::max<Us>(0, s.coldTill - now);
+                }
+            t.saidNo = listNo_;
+            t.saidAt = now;
+        }
+        for (auto& [x, s] : servers_)
+            if (s.seen && now - s.seen < SEEN && s.heard > t.loads && (whole || s.from != n)) {
+                b.loads.push_back(s.d);
+                b.loads.back().age = now - s.seen;
+            }
+        t.loads = now;
+    }
+    if (auto w = wants_.find(n); w != wants_.end()) {
+        b.rowAsk.assign(w->second.begin(), w->second.end());
+        wants_.erase(w);
+    }
+    if (b.rows.empty() && b.pulses.empty() && b.rowAsk.empty() && b.loads.empty() && b.listBase < 0) return false;
+    auto e = env();
+    e.__set_beat(b);
+    po_.tell(to->peer, e);
+    return true;
+}
+
+auto Node::learntAsk(const Str& addr, Us) -> void {
+    auto e = env();
+    auto b = wire::Beat();
+    b.rows.push_back(me_);
+    b.fullAsk = true;
+    b.listNo = listNo_;
+    e.__set_beat(b);
+    po_.tell(addr, e);
+    ct_.add("asked_total");
+}
+
+auto Node::learntDown(Us now) -> void {
+    downAt_ = now;
+    for (auto& k : tree(now).kids(me_.node)) learntBeat(k, false, false, now);
+}
+
+auto Node::learntSend(Us now) -> void {
+    me_.beat++;
+    ownVersion(now);
+    auto t = tree(now);
+    auto up = t.up.find(me_.node);
+    auto p = up == t.up.end() ? Str() : up->second;
+    if (p != parent_) {
+        parent_ = p;
+        parentSince_ = now;
+    }
+    auto to = std::set<Str>();
+    for (auto& n : t.kids(me_.node)) to.insert(n);
+    if (!p.empty()) to.insert(p);
+    downAt_ = now;
+    for (auto& n : to) learntBeat(n, false, false, now);
+    // Cores keep hearing of each other whatever the tree is: voters find each other's address so.
+    if (vt_)
+        for (auto& [n, k] : rows_)
+            if (!to.count(n) && !k.r.disk.empty() && (now - k.at < alive_ || voterDisks_.count(k.r.disk)))
+                learntBeat(n, false, true, now);
+    // Whoever is out of touch asks the leader, seeds and hints in turn for all they know.
+    auto led = leaderNode(now);
+    auto silent = !p.empty() && now - std::max(rows_.at(p).direct, parentSince_) > beat_ * 5 / 2;
+    if (led.empty() || silent) {
+        auto v = places();
+        auto n = aliveNodes(now).size() < 2 ? 3 : 1;
+        if (silent && !led.empty() && led != p && led != me_.node) learntAsk(row(led)->peer, now);
+        for (auto i = 0; i < n && std::size_t(i) < v.size(); i++) learntAsk(v[seed_++ % v.size()], now);
+    }
+    for (auto i = told_.begin(); i != told_.end();)
+        if (now - i->second.at > 10 * beat_) i = told_.erase(i);
+        else ++i;
+    for (auto i = wants_.begin(); i != wants_.end();)
+        if (!rows_.count(i->first)) i = wants_.erase(i);
+        else ++i;
+    ct_.add("beats_sent_total");
+}
+
+auto Node::learntHear(const wire::Envelope& e, Us now) -> void {
+    auto& b = e.beat;
+    auto led = leaderNode(now);
+    learntRows(b, e.node, now);
+    auto list = learntListing(b, e.node, now);
+    auto k = rows_.find(e.node);
+    if (k == rows_.end()) return;
+    k->second.direct = now;
+    auto news = list || leaderNode(now) != led;
+    auto i = told_.find(e.node);
+    if (b.fullAsk) {
+        auto& t = told_[e.node];
+        if (!t.askedAt || now - t.askedAt >= 100 * MS) {
+            t.askedAt = now;
+            learntBeat(e.node, true, false, now);
+            if (auto& r = k->second.r; std::pair(r.reign, r.gen) < std::pair(word_.reign, word_.gen)) wordTo(r.peer);
+        }
+    } else if (!b.rowAsk.empty() && i != told_.end()) {
+        for (auto& n : b.rowAsk) i->second.rows.erase(n);
+        learntBeat(e.node, false, false, now);
+    }
+    if (news) nextBeat_ = now;
+    else if (e.node == parent_) learntDown(now);
+}
+
+auto Node::learntRows(const wire::Beat& b, const Str& from, Us now) -> void {
+    auto seen = [&](Known& k, std::int64_t beat) {
+        if (now - k.at >= alive_) ct_.add("node_heard_again_total");
+        k.r.beat = beat;
+        k.at = now;
+        k.from = from;
+    };
+    auto self = [&](std::int64_t boot, std::int64_t beat, const Str& peer) {
+        if (std::pair(boot, beat) <= std::pair(me_.boot, me_.beat)) return;
+        // An earlier life by a clock that has since been set back, or another of the same name.
+        if (!peer.empty() && peer != me_.peer) ct_.add("own_name_elsewhere_total");
+        ct_.add("boot_raised_total");
+        if (!broken.oldBoot) me_.boot = boot + 1;
+    };
+    for (auto& r : b.rows) {
+        if (r.node.empty() || r.node.size() > 256 || r.peer.size() > 64) continue;
+        if (r.node == me_.node) {
+            self(r.boot, r.beat, r.peer);
+            continue;
+        }
+        auto i = rows_.find(r.node);
+        auto first = i == rows_.end();
+        if (first) {
+            if (rows_.size() >= 4096) continue;
+            i = rows_.emplace(r.node, Known()).first;
+            logf("node {} known at {}", r.node, r.peer);
+        }
+        auto& k = i->second;
+        if (std::pair(r.boot, r.beat) < std::pair(k.r.boot, k.r.beat)) continue;
+        if (std::tie(r.boot, r.beat, r.version) == std::tie(k.r.boot, k.r.beat, k.r.version)) continue;
+        if (k.r.boot != r.boot) {
+            k.first = now;
+            if (!first) told_.erase(r.node);
+        }
+        auto at = k.at;
+        auto newer = std::pair(r.boot, r.beat) > std::pair(k.r.boot, k.r.beat);
+        k.r = r;
+        k.told = now;
+        if (newer) seen(k, r.beat);
+        // Of one that was unknown it counts how long ago it was heard.
+        if (first) k.at = now - std::max<Us>(0, r.age);
+        else if (!newer) k.at = at;
+    }
+    for (auto& p : b.pulses) {
+        if (p.node == me_.node) {
+            self(p.boot, p.beat, "");
+            continue;
+        }
+        auto i = rows_.find(p.node);
+        if (i != rows_.end() && std::pair(p.boot, p.beat) <= std::pair(i->second.r.boot, i->second.r.beat)) continue;
+        if (i != rows_.end() && i->second.r.boot == p.boot && i->second.r.version == p.version)
+            seen(i->second, p.beat);
+        else if (auto& w = wants_[from]; w.size() < 4096) w.insert(p.node);
+    }
+    // A gap in the news that the tree does not close by itself is closed by pulling.
+    if (!pullDue_)
+        for (auto& [n, k] : rows_)
+            if (now - k.at < alive_ && std::pair(k.r.reign, k.r.gen) > std::pair(word_.reign, word_.gen)) {
+                pullDue_ = now + 100 * MS;
+                break;
+            }
+}
+
+// ---- the listing, where membership is learnt
+//
+// It is one thing with one number. Who does the duty raises the number when something changed; all
+// others take it whole, or take what changed since the very number that they hold.
+
+auto Node::raiseList(Us) -> std::int64_t {
+    // A later leader's numbers are above all of an earlier one's; the lowest bits tell whose it is.
+    auto term = std::max(vt_ && vt_->leads() ? vt_->term() : 0, listNo_ >> 34);
+    auto n = ((listNo_ >> 10) & 0xffffff) + 1;
+    listNo_ = (term << 34) | ((n & 0xffffff) << 10) | std::int64_t(hash64(me_.node, std::uint64_t(me_.boot)) & 1023);
+    lists_.push_back(listNo_);
+    if (lists_.size() > 64) lists_.pop_front();
+    return listNo_;
+}
+
+auto Node::learntList(std::int64_t id, const Doc& d, Us now) -> void {
+    // One that was superseded meanwhile may hold a listing older than what the others have.
+    if (!duty(now) || (vt_ && vt_->leads() && vt_->term() < (listNo_ >> 34)))
+        return po_.done(id, {409, bodyOf({{"error", jsQuote("another node does this duty now")}})});
+    auto g = std::int64_t(0);
+    auto no = [&] { return g ? g : g = raiseList(now); };
+    auto has = std::set<Str>();
+    for (auto& v : d["servers"].GetArray()) {
+        auto n = jsStr(v, "name");
+        has.insert(n);
+        auto& s = servers_[n];
+        auto l = s.l;
+        l.server = n;
+        l.address = jsStr(v, "address");
+        l.region = jsStr(v, "region");
+        l.district = jsStr(v, "district");
+        l.pool = jsStr(v, "pool");
+        l.weights = jsStr(v, "weights");
+        l.slots = std::int32_t(jsInt(v, "slots", 8));
+        l.state = jsStr(v, "state", "up") == "up" ? UP : LEAVING;
+        l.inc = jsInt(v, "incarnation");
+        auto cold = jsInt(v, "coldUs") > 0 ? now + jsInt(v, "coldUs") : 0;
+        auto was = s.coldTill > now ? s.coldTill : 0;
+        auto same = l == s.l && std::abs(cold - was) < SEC;
+        s.told = now;
+        if (same && !s.l.server.empty()) continue;
+        if (s.l.server.empty() || s.l.inc != l.inc || s.l.state == GONE) s.first = now, s.seen = 0;
+        s.l = l;
+        s.l.gen = no();
+        s.coldTill = cold;
+    }
+    for (auto& [n, s] : servers_)
+        if (!has.count(n) && s.l.state == UP) {
+            s.l.state = LEAVING;
+            s.l.gen = no();
+            s.told = now;
+        }
+    if (!listNo_) no();  // an empty listing is one too
+    listTold_ = now;
+    ct_.add("listings_taken_total");
+    if (g) nextBeat_ = now;
+    po_.done(id, {200, "{\"listed\":" + fmt::to_string(has.size()) + "}"});
+}
+
+// True if there is something new in it.
+auto Node::learntListing(const wire::Beat& b, const Str& from, Us now) -> bool {
+    if (b.listNo)
+        if (auto i = told_.find(from); i != told_.end()) i->second.listNo = b.listNo;
+    for (auto& d : b.loads) {
+        // What lay unheard while this process was frozen is older than it says.
+        if (wokeAt_ && now - wokeAt_ < SEC) break;
+        auto i = servers_.find(d.server);
+        if (i == servers_.end() || d.age < 0) continue;
+        if (auto t = now - d.age; t > i->second.seen) {
+            i->second.d = d;
+            i->second.seen = t;
+            i->second.heard = now;
+            i->second.from = from;
+        }
+    }
+    if (b.listBase < 0 || b.listNo <= listNo_ || (b.listBase && b.listBase != listNo_)) return false;
+    auto has = std::set<Str>();
+    for (auto& l : b.listings) {
+        if (l.server.empty() || l.server.size() > 256) continue;
+        has.insert(l.server);
+        if (!servers_.count(l.server) && servers_.size() >= 4096) continue;
+        auto& s = servers_[l.server];
+        if (s.l.server.empty() || l.inc != s.l.inc || s.l.state == GONE) s.first = now, s.seen = 0;
+        s.l = l;
+        s.told = now - std::max<Us>(0, l.age);
+        s.coldTill = l.cold > 0 ? now + l.cold : 0;
+    }
+    if (!b.listBase) {
+        for (auto i = servers_.begin(); i != servers_.end();)
+            if (!has.count(i->first)) i = servers_.erase(i);
+            else ++i;
+        lists_.clear();
+    }
+    listNo_ = b.listNo;
+    lists_.push_back(listNo_);
+    if (lists_.size() > 64) lists_.pop_front();
+    listTold_ = now;
+    return true;
+}
+
+// ---- duties and seats, where membership is learnt
+
+auto Node::duty(Us now) const -> bool {
+    if (vt_ && vt_->leads()) return now - vt_->quorumAt() < SEC;
+    if (word_.gen == 0 || !leaderNode(now).empty() || now - leaderAt_ < 2 * SEC) return false;
+    return tree(now).up.count(me_.node) == 0;
+}
+
+auto Node::learntTick(Us now) -> void {
+    led_ = leaderNode(now);
+    if (!led_.empty() || !leaderAt_) leaderAt_ = now;
+    me_.settled = word_.gen > 0;
+    // What the others must know at once: that this one leads, or does no more.
+    if (vt_ && vt_->leads() != said_.leader) nextBeat_ = now;
+    if (!pullDue_ || now < pullDue_) return;
+    auto from = static_cast<const wire::Row*>(nullptr);
+    auto near = -1;
+    for (auto& [n, k] : rows_) {
+        auto& r = k.r;
+        if (now - k.at >= alive_ || std::pair(r.reign, r.gen) <= std::pair(word_.reign, word_.gen)) continue;
+        auto d = r.district == me_.district ? 3 : r.region == me_.region ? 2 : 1;
+        if (d > near || (d == near && rng_.chance(.5))) near = d, from = &r;
+    }
+    pullDue_ = from ? now + 300 * MS : 0;
+    if (!from) return;
+    auto e = env();
+    auto w = wire::WordAsk();
+    w.reign = word_.reign;
+    w.gen = word_.gen;
+    e.__set_wordAsk(w);
+    po_.tell(from->peer, e);
+    ct_.add("word_pulled_total");
+}
+
+// The fleet's first start: all processes are told the same seeds in the same order, and all of those
+// are up. The first of them that has a disk founds, so there is one founder only.
+auto Node::learntFound(Us now) -> void {
+    if (!st_.bootstrap || !vt_->blank() || word_.gen > 0) return;
+    auto founder = Str();
+    for (auto& a : st_.seeds) {
+        auto r = a == me_.peer ? &me_ : nullptr;
+        for (auto& [n, k] : rows_)
+            if (k.r.peer == a && now - k.at < alive_) r = &k.r;
+        if (!r) return;
+        if (founder.empty() && !r->disk.empty()) founder = r->node;
+    }
+    if (founder != me_.node) return;
+    auto by = std::map<Str, std::vector<Seat>>();  // district -> its blank cores
+    auto n = std::size_t(1);
+    by[me_.district].push_back({me_.node, me_.disk});
+    for (auto& [x, k] : rows_) {
+        if (k.r.gen > 0) return;
+        if (now - k.at >= alive_ || k.r.disk.empty() || !k.r.blank) continue;
+        by[k.r.district].push_back({x, k.r.disk});
+        n++;
+    }
+    if (n != cores_) {
+        cores_ = n;
+        coresAt_ = now;
+    }
+    if (now - coresAt_ < 800 * MS) return;
+    // In turn from each district, beginning with its own.
+    auto vs = std::vector<Seat>();
+    auto most = std::min<std::size_t>(5, n % 2 ? n : n - 1);
+    for (auto i = std::size_t(0); vs.size() < most; i++) {
+        auto take = [&](const std::vector<Seat>& v) {
+            if (i < v.size() && vs.size() < most) vs.push_back(v[i]);
+        };
+        take(by[me_.district]);
+        for (auto& [d, v] : by)
+            if (d != me_.district) take(v);
+    }
+    auto w = Word();
+    w.found({}, vs);
+    vt_->found(w, 1, now);
+}
+
+// A seat whose disk has not been heard for long is offered a disk that sits in none.
+auto Node::learntSeats(Us now) -> void {
+    auto of = std::vector<std::pair<Str, Str>>();
+    if (vt_->leads()) {
+        auto vs = vt_->voters();
+        auto spare = std::vector<const Known*>();
+        for (auto& [n, k] : rows_)
+            if (now - k.at < alive_ && now - k.first >= 500 * MS && !k.r.disk.empty() && !k.r.stopping
+                && (k.r.blank || k.r.term <= vt_->term())
+                && std::none_of(vs.begin(), vs.end(), [&](auto& v) { return v.disk == k.r.disk; }))
+                spare.push_back(&k);
+        auto where = std::map<Str, int>();  // districts of the voters that live
+        auto lost = std::vector<Str>();
+        for (auto& v : vs) {
+            auto at = std::max(vt_->heard(v.disk), vt_->leadSince());
+            auto r = v.disk == me_.disk ? &me_ : nullptr;
+            for (auto& [n, k] : rows_)
+                if (k.r.disk == v.disk) {
+                    at = std::max(at, k.at);
+                    r = &k.r;
+                }
+            // Its machine is there with another disk: the old one does not come back.
+            auto own = row(v.seat);
+            auto swapped = own && alive(v.seat, now) && !r && !own->disk.empty();
+            if (v.disk != me_.disk && (swapped || now - at >= SEAT_LOST)) lost.push_back(v.seat);
+            else if (r) where[r->district]++;
+        }
+        for (auto& s : lost) {
+            auto best = static_cast<const Known*>(nullptr);
+            auto key = [&](const Known* k) {
+                return std::tuple(k->r.node == s, -where[k->r.district], k->r.blank, k->first * -1);
+            };
+            for (auto k : spare)
+                if (!best || key(k) > key(best)) best = k;
+            if (!best) break;
+            spare.erase(std::find(spare.begin(), spare.end(), best));
+            where[best->r.district]++;
+            of.emplace_back(s, best->r.disk);
+        }
+    }
+    vt_->offer(of);
+}
+
 }  // namespace dt
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -20,6 +20,8 @@
 constexpr Us FROZEN = 1 * SEC;        // a process that sees so long a gap in its time was frozen
 constexpr Us STALE = 1 * SEC;         // a load older than this tells nothing of whether it is the same life
 constexpr Us SEEN = 3 * SEC;          // a load report older than this is not believed
+constexpr Us LEARNT_BEAT = 500 * MS;  // how often a node speaks of itself where membership is learnt
+constexpr Us SEAT_LOST = 2500 * MS;   // learnt: silence after which a voter's seat is given to a spare disk
 
 enum State { UP = 0, LEAVING = 1, GONE = 2 };
 
@@ -39,6 +41,10 @@
     wire::Row r;
     Us at = 0;  // when its newest beat came
     Us t0 = 0;  // when that beat of ours was sent which it had heard by then
+    // Learnt membership: when this life was first heard of, when the row itself came, when the node
+    // last spoke to this one, and who told of its newest beat.
+    Us first = 0, told = 0, direct = 0;
+    Str from;
 };
 
 struct Server {
@@ -48,6 +54,9 @@
     wire::Load d;
     Us seen = 0;  // when the load was read; 0 if never
     int misses = 0;
+    Us coldTill = 0;  // as the platform told, on this node's clock; 0 if it did not
+    Us heard = 0;     // when the load came here
+    Str from;         // who told the load
 };
 
 struct Node : VoterPort {
@@ -69,6 +78,9 @@
     auto ready(Us now) const -> bool;
     /// Begins a planned stop: the duty is handed over and others send no more here.
     auto leave(Us now) -> void;
+    /// Does this node do the fleet's single duties now? The leader does, or, when none was
+    /// heard for 2 s, the root of the relays' tree.
+    auto duty(Us now) const -> bool;
 
     /// An operator's order or readback; answered through NodePort::done.
     auto order(std::int64_t id, const Str& op, const Str& key, const Str& body, Us now) -> void;
@@ -131,6 +143,7 @@
         bool read;
         Us due, next;
         bool sent;
+        Str to;  // the leader it was sent to
     };
     struct Job {  // at the leader
         std::int64_t id;
@@ -171,6 +184,32 @@
     auto row(const Str& n) const -> const wire::Row*;
     auto touchMe(Us now) -> void;
 
+    // Learnt membership (the end of node.cpp).
+    struct Told {  // what a neighbour was told and what it said it holds
+        struct Of {
+            std::int64_t boot = 0, version = 0, beat = 0;
+        };
+        std::map<Str, Of> rows;
+        std::int64_t listNo = -1, saidNo = -1;
+        Us loads = 0, saidAt = 0, wholeAt = 0, at = 0, askedAt = 0;
+    };
+    auto limit() const -> Us { return alive_; }
+    auto ownVersion(Us now) -> void;
+    auto learntBeat(const Str& n, bool whole, bool own, Us now) -> bool;
+    auto learntSend(Us now) -> void;
+    auto learntDown(Us now) -> void;
+    auto learntAsk(const Str& addr, Us now) -> void;
+    auto learntHear(const wire::Envelope& e, Us now) -> void;
+    auto learntRows(const wire::Beat& b, const Str& from, Us now) -> void;
+    auto learntListing(const wire::Beat& b, const Str& from, Us now) -> bool;
+    auto learntList(std::int64_t id, const Doc& d, Us now) -> void;
+    auto learntTick(Us now) -> void;
+    auto learntFound(Us now) -> void;
+    auto learntSeats(Us now) -> void;
+    auto raiseList(Us now) -> std::int64_t;
+    auto places() const -> std::vector<Str>;
+    auto rowOf(const Str& n, Us now) const -> wire::Row;
+
     Settings st_;
     NodePort& po_;
     Counters& ct_;
@@ -195,6 +234,16 @@
     Us bookAt_ = 0;
     std::size_t seed_ = 0;
     bool wasFresh_ = false;
+    Us beat_ = BEAT, alive_ = ALIVE, late_ = LATE;
+    std::map<Str, Told> told_;
+    std::map<Str, std::set<Str>> wants_;
+    wire::Row said_;
+    std::int64_t listNo_ = 0;
+    std::deque<std::int64_t> lists_;  // the numbers of listings held here, of one unbroken series
+    Str parent_, led_;
+    Us saidOff_ = 0, parentSince_ = 0, downAt_ = 0, pullDue_ = 0, leaderAt_ = 0, slowAt_ = 0, coresAt_ = 0,
+       lastCore_ = 0;
+    std::size_t cores_ = 0;
 };
 
 }  // namespace dt
--- a/src/shared.cpp
+++ b/src/shared.cpp
@@ -226,7 +226,10 @@
   "data":{"type":"string","minLength":1},
   "seeds":{"type":"array","minItems":1,"items":{"type":"string"}},
   "roster":{"type":"array","items":{"type":"string"}},
-  "seats":{"type":"array","items":{"type":"string"}}
+  "seats":{"type":"array","items":{"type":"string"}},
+  "membership":{"type":"string","enum":["roster","learnt"]},
+  "bootstrap":{"type":"boolean"},"outOfTouch":{"type":"string","enum":["deny","serve"]},
+  "probes":{"type":"boolean"},"beatUs":{"type":"integer","minimum":50000,"maximum":5000000}
  }})";
 
 auto addrParse(View s) -> tl::expected<Addr, Str> {
@@ -272,7 +275,11 @@
             x.SetArray();
             auto ss = std::stringstream(v);
             for (auto t = Str(); std::getline(ss, t, ',');) x.PushBack(Val(t, al), al);
-        } else x.SetString(v, al);
+        } else if ((k == "bootstrap" || k == "probes") && (v == "true" || v == "false")) x.SetBool(v == "true");
+        else if (k == "beatUs" && !v.empty() && v.size() < 10
+            && v.find_first_not_of("0123456789") == Str::npos)
+            x.SetInt64(std::stoll(v));
+        else x.SetString(v, al);
         d.RemoveMember(k);
         d.AddMember(Val(k, al), x, al);
     }
@@ -297,6 +304,17 @@
     s.roster = jsList(d, "roster");
     s.seats = jsList(d, "seats");
     s.file = file;
+    s.learnt = jsStr(d, "membership") == "learnt";
+    s.bootstrap = jsBool(d, "bootstrap");
+    s.serveOn = jsStr(d, "outOfTouch") == "serve";
+    s.probes = jsBool(d, "probes", true);
+    s.beat = jsInt(d, "beatUs");
+    // Acknowledgements rest on the roster's leases there: none may go on without one.
+    if (!s.learnt)
+        for (auto [k, on] : {std::pair("/outOfTouch", s.serveOn), {"/bootstrap", s.bootstrap}})
+            if (on) er.faults.push_back({k, "wants \"membership\": \"learnt\""});
+    if (s.learnt && !(s.roster.empty() && s.seats.empty()))
+        er.faults.push_back({"/membership", "a learnt membership takes no roster and no seats"});
     auto has = [](const std::vector<Str>& v, const Str& x) {
         return std::find(v.begin(), v.end(), x) != v.end();
     };
--- a/src/shared.hpp
+++ b/src/shared.hpp
@@ -92,6 +92,11 @@
     Str node, district, region, peer, sender, opr, data;
     std::vector<Str> seeds, roster, seats;
     Str file;
+    bool learnt = false;     // membership is learnt from the seeds; there is no roster
+    bool bootstrap = false;  // learnt: the first start of the whole fleet, with empty disks
+    bool serveOn = false;    // learnt: out of touch, go on by the last known word
+    bool probes = true;      // ask servers for their load
+    Us beat = 0;             // how often a node speaks of itself; 0: the membership's default
 };
 
 struct SettingsError {
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -19,14 +19,19 @@
   12: list<Echo> echo, 13: list<Mark> marks,
   14: i64 credit, 15: i64 wall,
   16: string disk, 17: bool blank, 18: i64 term, 19: bool leader, 20: bool ready,
-  21: bool stopping, 22: i64 want
+  21: bool stopping, 22: i64 want,
+  // Learnt membership: the count of this life's changes, and how long ago the teller heard of it.
+  23: i64 version, 24: i64 age
 }
 
+// The sign that a node lives and that its row is still the one of this version.
+struct Pulse { 1: string node, 2: i64 boot, 3: i64 beat, 4: i64 version }
+
 // A server as the platform listed it. Told again under a lease; never logged.
 struct Listing {
   1: string server, 2: string address, 3: string region, 4: string district,
   5: string pool, 6: string weights, 7: i32 slots, 8: i32 state, 9: i64 inc,
-  10: i64 gen, 11: i64 age
+  10: i64 gen, 11: i64 age, 12: i64 cold
 }
 
 // What a watcher saw of a server.
@@ -35,7 +40,13 @@
   6: bool dark, 7: i64 up, 8: string watcher, 9: i64 age, 10: bool cold
 }
 
-struct Beat { 1: list<Row> rows, 2: list<Listing> listings, 3: list<Load> loads }
+// Fields from 4 on: learnt membership only. `listNo` numbers the listing that the teller holds;
+// `listings` holds what changed in it since `listBase` (0: all of it; -1: none are told).
+struct Beat {
+  1: list<Row> rows, 2: list<Listing> listings, 3: list<Load> loads,
+  4: list<Pulse> pulses, 5: list<string> rowAsk, 6: bool fullAsk,
+  7: i64 listNo, 8: i64 listBase = -1
+}
 
 // The operator's word: everything an operator ordered, as one document.
 struct Word { 1: i64 reign, 2: i64 gen, 3: string doc }
