--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -1,10 +1,13 @@
 #include "daemon.hpp"
 
+#include <fcntl.h>
+#include <malloc.h>
+#include <pthread.h>
 #include <signal.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <condition_variable>
-#include <fstream>
 #include <sstream>
 #include <deque>
 #include <random>
@@ -18,7 +21,6 @@
 #include <thrift/transport/TSocket.h>
 
 #include "Peer.h"
-#include "http.hpp"
 #include "store.hpp"
 
 namespace dt {
@@ -32,6 +34,22 @@
 // Down::mu; none of these four is held while another is taken.
 
 static auto clip(const Str& s) -> Str { return s.substr(0, 200); }
+// Nothing waits to be read, not even the peer's end.
+static auto quietSocket(int fd) -> bool {
+    auto c = char();
+    return ::recv(fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+constexpr Us UNHEARD_SERVER = 2 * SEC;   // sent bytes without an acknowledgement
+constexpr Us UNHEARD_SENDER = 10 * SEC;  // longer: a sender that reads nothing for a while counts too
+constexpr Us CONNECT = 1 * SEC;
+constexpr Us WRITE = 30 * SEC;            // for a sender to take what it is given
+constexpr Us BODY_READ = 20 * SEC;        // for a sender to give its request's body
+constexpr std::size_t HELD = 256 * 1024;  // bytes held for a slow sender before its server is held back
+constexpr std::size_t REPLY = 16u << 20;  // the longest reply that is no stream
+constexpr std::size_t READ = 8 * 1024;
+constexpr std::size_t AHEAD = 64 * 1024;  // bytes taken of requests that a sender sends ahead
+constexpr int SESSIONS = 3500;
 
 namespace {
 
@@ -50,13 +68,20 @@
         {
             auto l = std::lock_guard(mu);
             if (q.size() >= 256) q.pop_front(), lost++;
-            q.emplace_back(bootNow(), e);
+            last = bootNow();
+            q.emplace_back(last, e);
         }
         cv.notify_one();
     }
+    /// Whether nothing was said to this peer for so long that its thread may end.
+    auto idle(Us now) -> bool {
+        auto l = std::lock_guard(mu);
+        return q.empty() && now - last > 30 * SEC;
+    }
     auto run() -> void {
         auto ap = addrParse(addr);
         if (!ap) return;
+        auto said = Us(0);
         auto conf = std::make_shared<tt::TConfiguration>();
         auto sock = std::make_shared<tt::transport::TSocket>(ap->ip, ap->port, conf);
         sock->setConnTimeout(400);
@@ -76,8 +101,14 @@
             // Old news is retold; a stale word of it would only take the place of newer.
             if (bootNow() - it.first > 2 * SEC || bootNow() < wait) continue;
             try {
-                if (!tr->isOpen()) tr->open();
+                // After a pause: what is written to a connection that the peer has closed is lost.
+                if (tr->isOpen() && bootNow() - said > SEC && !quietSocket(sock->getSocketFD())) tr->close();
+                if (!tr->isOpen()) {
+                    tr->open();
+                    socketSet(sock->getSocketFD(), SEC);
+                }
                 cl.tell(it.second);
+                said = bootNow();
             } catch (const std::exception&) {
                 try {
                     tr->close();
@@ -95,6 +126,7 @@
     std::condition_variable cv;
     std::deque<std::pair<Us, wire::Envelope>> q;
     std::int64_t lost = 0;
+    Us last = 0;
     bool stop = false;
     std::thread th;
 };
@@ -113,11 +145,23 @@
 struct Up {
     asio::any_io_executor ex;
     std::shared_ptr<beast::tcp_stream> s;
+    Str key;            // of the server's kept connections
+    bool kept = false;  // its connection has carried another exchange before
     std::atomic<bool> dropped = false;
 };
 
-struct Daemon : NodePort, EdgePort, wire::PeerIf {
-    explicit Daemon(const DaemonOptions& o) : op(o), io(o.workers) {}
+// Who speaks at a listening address.
+struct Listen {
+    enum Kind { Sender, Operator, Adapted } kind;
+    Str addr;
+    tcp::acceptor ac;
+};
+
+struct Daemon : NodePort, EdgePort, Shell, wire::PeerIf {
+    explicit Daemon(const DaemonOptions& o) : op(o), ad(o.adapter), io(ad ? 1 : o.workers) {
+        if (ad) op.workers = 1, op.core = !op.st.data.empty();
+        reuse_ = ad && op.reuse;
+    }
 
     // ---- NodePort
     auto tell(const Str& addr, const wire::Envelope& e) -> void override {
@@ -156,10 +200,25 @@
     }
 
     // ---- EdgePort
-    auto send(std::int64_t x, int a, const Str&, const Str& addr) -> void override {
+    auto send(std::int64_t x, int a, const Str& server, const Str& addr) -> void override {
         auto u = std::make_shared<Up>();
-        u->ex = asio::make_strand(io);
-        u->s = std::make_shared<beast::tcp_stream>(u->ex);
+        u->key = server + " " + addr;
+        if (reuse_ && edge->reusable(x))
+            for (auto id = pool_.take(u->key, bootNow()); id >= 0; id = pool_.take(u->key, bootNow())) {
+                auto s = std::move(kept_[id]);
+                kept_.erase(id);
+                // Its end, or bytes that nobody asked for: not to be used again.
+                if (!quietSocket(s->socket().native_handle())) continue;
+                u->s = s;
+                u->ex = s->get_executor();
+                u->kept = true;
+                ct_.add("connections_reused_total");
+                break;
+            }
+        if (!u->kept) {
+            u->ex = asio::make_strand(io);
+            u->s = std::make_shared<beast::tcp_stream>(u->ex);
+        }
         ups_[{x, a}] = u;
         asio::co_spawn(u->ex, upRun(x, a, addr, u), asio::detached);
     }
@@ -205,6 +264,38 @@
         });
     }
 
+    // ---- Shell
+    auto order(const Str& o, const Str& key, const Str& body) -> awaitable<Outcome> override {
+        co_return co_await await([&](std::int64_t id) { node->order(id, o, key, body, bootNow()); });
+    }
+    auto readWord() -> awaitable<Outcome> override {
+        co_return co_await await([&](std::int64_t id) { node->read(id, bootNow()); });
+    }
+    auto list(const Str& body) -> awaitable<Outcome> override {
+        co_return co_await await([&](std::int64_t id) { node->list(id, body, bootNow()); });
+    }
+    auto where(const Str& region, const Str& district) -> Str override {
+        auto l = std::lock_guard(mu_);
+        return node->where(region, district, bootNow());
+    }
+    auto ready() -> bool override {
+        auto l = std::lock_guard(mu_);
+        return node->ready(bootNow()) && !stop_.at;
+    }
+    auto duty() -> bool override {
+        auto l = std::lock_guard(mu_);
+        return node->duty(bootNow());
+    }
+    auto word() -> Str override {
+        auto l = std::lock_guard(mu_);
+        return node->word().text();
+    }
+    auto fetch(const Str& addr, const Str& target, Us limit)
+        -> awaitable<tl::expected<Res, CallError>> override {
+        return dt::fetch(addr, "GET", target, "", {}, limit);
+    }
+    auto settings() -> const Settings& override { return op.st; }
+
     // ---- peers
     auto tell(const wire::Envelope& e) -> void override {
         auto l = std::lock_guard(mu_);
@@ -212,17 +303,27 @@
     }
 
     auto run() -> int;
+    auto bind() -> Str;
     auto diskLoop() -> void;
+    auto bookWrite(const Str& s) -> void;
     auto upRun(std::int64_t x, int a, Str addr, std::shared_ptr<Up> u) -> awaitable<void>;
+    auto keep(Up& u, Us life) -> void;
     auto probeRun(Str server, Str addr) -> awaitable<void>;
-    auto listen(tcp::acceptor& ac, bool opr) -> awaitable<void>;
-    auto session(tcp::socket s, bool opr) -> awaitable<void>;
+    auto listen(Listen& at) -> awaitable<void>;
+    auto session(tcp::socket s, Listen& at) -> awaitable<void>;
     auto exchange(beast::tcp_stream& s, beast::flat_buffer& b, const Req& q) -> awaitable<bool>;
     auto operate(const Req& q) -> awaitable<Res>;
+    auto adapted(const Str& at, const Req& q) -> awaitable<Res>;
+    auto duties() -> awaitable<void>;
     auto await(std::function<void(std::int64_t)> f) -> awaitable<Outcome>;
     auto ticker() -> awaitable<void>;
+    auto stopBegin() -> void;
+    auto stopStep(Us now) -> bool;
+    auto hup() -> void;
+    auto idleClose() -> void;
 
     DaemonOptions op;
+    Adapter* ad;
     asio::io_context io;
     std::mutex mu_, qmu_, dmu_, ctm_;
     Counters ct_, ct2_;
@@ -237,11 +338,20 @@
     std::atomic<std::int64_t> keys_ = 0;
     std::map<std::pair<std::int64_t, int>, std::shared_ptr<Up>> ups_;
     std::map<std::int64_t, std::shared_ptr<Down>> downs_;
+    Pool pool_;
+    std::map<std::int64_t, std::shared_ptr<beast::tcp_stream>> kept_;  // by their number in pool_
+    std::int64_t keptId_ = 0;
+    std::set<std::shared_ptr<beast::tcp_stream>> idle_;  // senders' connections between requests
+    Limits lim_;
+    std::int64_t limReign_ = -1, limGen_ = -1;
+    std::vector<std::unique_ptr<Listen>> listens_;
+    std::unique_ptr<asio::signal_set> hup_;
     std::atomic<int> sessions_ = 0;
     Store store;
     DiskGate gate;
-    bool stopping_ = false, stopDisk_ = false;
-    Us stopAt_ = 0;
+    StopSchedule stop_;
+    bool reuse_ = false, refusing_ = false, cut_ = false, stopDisk_ = false;
+    std::atomic<bool> closing_ = false;  // replies say that their connection ends
 };
 
 auto Daemon::diskLoop() -> void {
@@ -255,9 +365,7 @@
                 auto b = std::move(book_);
                 book_.clear();
                 l.unlock();
-                // Hints only: written aside and renamed, so that a half-written one is never read.
-                std::ofstream(op.st.data + "/peers.new") << b;
-                ::rename((op.st.data + "/peers.new").c_str(), (op.st.data + "/peers").c_str());
+                bookWrite(b);
                 continue;
             }
             w = std::move(dq_.front());
@@ -273,8 +381,31 @@
     }
 }
 
-// ---- towards the servers: one connection carries one exchange, so that no bytes of
-// another can be on it.
+// Hints only: written aside, synced and renamed, so that a half-written one is never read.
+auto Daemon::bookWrite(const Str& s) -> void {
+    auto to = op.st.data + "/peers", tmp = to + ".new";
+    auto fd = ::open(tmp.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+    if (fd < 0) return;
+    auto ok = ::write(fd, s.data(), s.size()) == ssize_t(s.size()) && ::fsync(fd) == 0;
+    ::close(fd);
+    if (!ok || ::rename(tmp.c_str(), to.c_str()) != 0) return;
+    if (auto d = ::open(op.st.data.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC); d >= 0) {
+        ::fsync(d);
+        ::close(d);
+    }
+}
+
+// ---- towards the servers: a connection carries one exchange at a time, and a second one
+// only if that may run again and nothing but the first one's whole reply has come on it.
+
+// A connection that its exchange left clean. With mu_ held.
+auto Daemon::keep(Up& u, Us life) -> void {
+    if (!reuse_ || life <= 0 || u.dropped || stop_.at || !quietSocket(u.s->socket().native_handle())) return;
+    auto now = bootNow();
+    auto id = ++keptId_;
+    kept_[id] = u.s;
+    for (auto i : pool_.put(u.key, id, now + life, now)) kept_.erase(i);
+}
 
 auto Daemon::upRun(std::int64_t x, int a, Str addr, std::shared_ptr<Up> u) -> awaitable<void> {
     auto& s = *u->s;
@@ -284,15 +415,20 @@
         edge->upLost(x, a, why, bootNow());
         ups_.erase({x, a});
     };
-    s.expires_after(std::chrono::seconds(1));
-    std::tie(ec) = co_await s.async_connect(endpoint(addr), quiet);
-    if (ec) {
-        auto l = std::lock_guard(mu_);
-        edge->refused(x, a, bootNow());
-        ups_.erase({x, a});
-        co_return;
+    if (!u->kept) {
+        s.expires_after(std::chrono::microseconds(CONNECT));
+        std::tie(ec) = co_await s.async_connect(endpoint(addr), quiet);
+        s.expires_never();  // the logic watches the time
+        if (ec) {
+            auto l = std::lock_guard(mu_);
+            edge->refused(x, a, bootNow());
+            ups_.erase({x, a});
+            co_return;
+        }
+        socketSet(s.socket().native_handle(), UNHEARD_SERVER);
     }
-    auto q = Req();
+    auto head = Str(), body = Str();
+    auto noBody = false;
     {
         auto l = std::lock_guard(mu_);
         auto e = edge->find(x);
@@ -300,35 +436,78 @@
             ups_.erase({x, a});
             co_return;
         }
-        q.method(http::string_to_verb(e->method));
-        q.target(e->path);
-        q.version(11);
-        for (auto& [k, v] : e->h) q.insert(k, v);
-        q.set(http::field::host, addr);
-        q.set("X-Exchange-Id", e->exid);
-        q.erase("Last-Event-Id");
-        q.erase("X-Weights");
-        if (e->last >= 0) q.set("Last-Event-Id", fmt::to_string(e->last));
-        q.keep_alive(false);
-        q.body() = e->body;
-        q.prepare_payload();
+        noBody = e->method == "HEAD";
+        head = e->method + " " + e->path + " HTTP/1.1\r\n";
+        auto host = false;
+        for (auto& [k, v] : edge->outgoing(x, bootNow())) {
+            if (hopByHop(k, "")) continue;
+            host = host || beast::iequals(k, "Host");
+            head += k + ": " + v + "\r\n";
+        }
+        if (!host) head += "Host: " + addr + "\r\n";
+        body = e->body;
+        if (!body.empty() || e->method == "POST" || e->method == "PUT" || e->method == "PATCH")
+            head += fmt::format("Content-Length: {}\r\n", body.size());
+        head += reuse_ ? "\r\n" : "Connection: close\r\n\r\n";
     }
-    s.expires_never();  // the logic watches the time
-    s.socket().set_option(tcp::no_delay(true), ec);
     std::size_t n = 0;
-    std::tie(ec, n) = co_await http::async_write(s, q, quiet);
+    std::tie(ec, n) =
+        co_await asio::async_write(s, std::array{asio::buffer(head), asio::buffer(body)}, quiet);
     if (ec) co_return lost("the connection broke while sending");
+    head = body = Str();
     auto b = beast::flat_buffer(1 << 20);
-    auto p = http::response_parser<http::buffer_body>();
-    p.header_limit(16 * 1024);
-    p.body_limit(boost::none);
-    std::tie(ec, n) = co_await http::async_read_header(s, b, p, quiet);
-    if (ec) co_return lost("no sound reply: " + ec.message());
+    auto p = std::make_unique<http::response_parser<http::string_body>>();
+    auto fresh = [&] {
+        p = std::make_unique<http::response_parser<http::string_body>>();
+        p->header_limit(64 * 1024);
+        p->body_limit(REPLY);
+        p->skip(noBody);
+    };
+    // Reads once; ec says whether the reply can still be whole.
+    auto more = [&]() -> awaitable<void> {
+        auto got = std::size_t(0);
+        std::tie(ec, got) = co_await s.async_read_some(b.prepare(READ), quiet);
+        if (ec == asio::error::eof) {
+            p->put_eof(ec);
+            if (!ec && !p->is_done()) ec = http::error::partial_message;
+            co_return;
+        }
+        b.commit(got);
+    };
+    auto parse = [&] {
+        ec = {};
+        while (b.size() && !p->is_done()) {
+            auto was = p->is_header_done();
+            auto k = p->put(b.data(), ec);
+            b.consume(k);
+            if (ec == http::error::need_more) {
+                ec = {};
+                return;
+            }
+            if (ec || (!was && p->is_header_done())) return;
+        }
+    };
+    fresh();
+    while (!p->is_header_done()) {
+        co_await more();
+        if (ec) co_return lost("no sound reply: " + ec.message());
+        parse();
+        if (ec) co_return lost("no sound reply: " + ec.message());
+        // An interim reply is not the reply.
+        while (p->is_header_done() && p->get().result_int() / 100 == 1 && p->get().result_int() != 101) {
+            fresh();
+            parse();
+            if (ec) co_return lost("no sound reply: " + ec.message());
+        }
+    }
     auto h = Headers();
-    for (auto& f : p.get()) h.emplace_back(Str(f.name_string()), Str(f.value()));
-    auto status = int(p.get().result_int());
-    auto ct = Str(p.get()[http::field::content_type]);
-    auto streamed = status == 200 && ct.starts_with("text/event-stream") && !p.get().count("X-Not-Executed");
+    for (auto& f : p->get()) h.emplace_back(Str(f.name_string()), Str(f.value()));
+    auto status = int(p->get().result_int());
+    auto ct = Str(p->get()[http::field::content_type]);
+    auto denied = !ad || !ad->dialect.notExecuted.empty()
+        ? p->get().count(ad ? ad->dialect.notExecuted : Str("X-Not-Executed")) > 0
+        : false;
+    auto streamed = status == 200 && ct.starts_with("text/event-stream") && !denied && !noBody;
     {
         auto l = std::lock_guard(mu_);
         if (!edge->upHead(x, a, status, h, bootNow())) {
@@ -337,58 +516,63 @@
         }
     }
     // Without a length or chunks, nothing tells a whole reply from a cut one.
-    if (!p.is_done() && !p.chunked() && !p.content_length()) co_return lost("a reply without a length");
+    if (!p->is_done() && !p->chunked() && !p->content_length()) co_return lost("a reply without a length");
+    if (streamed) p->body_limit(boost::none);
     auto sp = EventSplit();
-    auto body = Str();
-    auto buf = std::vector<char>(64 * 1024);
-    while (!p.is_done()) {
-        p.get().body().data = buf.data();
-        p.get().body().size = buf.size();
-        p.get().body().more = true;
-        std::tie(ec, n) = co_await http::async_read_some(s, b, p, quiet);
-        if (ec == http::error::need_buffer) ec = {};
-        auto got = View(buf.data(), buf.size() - p.get().body().size);
-        if (!streamed) {
-            body += got;
-            if (body.size() > (16u << 20)) co_return lost("the reply is too long");
-        } else {
-            sp.feed(got);
+    while (true) {
+        parse();
+        auto broken = ec;
+        if (streamed) {
+            sp.feed(p->get().body());
+            p->get().body().clear();
             auto e = Event();
-            while (sp.next(e)) {
+            if (sp.next(e)) {
                 auto l = std::lock_guard(mu_);
-                edge->upEvent(x, a, e, bootNow());
+                do edge->upEvent(x, a, e, bootNow());
+                while (sp.next(e));
             }
             if (sp.tooLong()) co_return lost("an event is too long");
-            // A sender that reads slowly holds the server back, not the memory full.
-            while (true) {
-                auto d = std::shared_ptr<Down>();
-                {
-                    auto l = std::lock_guard(mu_);
-                    if (!edge->find(x) || u->dropped) {
-                        ups_.erase({x, a});
-                        co_return;
-                    }
-                    d = down(x);
-                }
-                {
-                    auto l = std::lock_guard(d->mu);
-                    if (d->bytes < 256 * 1024) break;
-                }
-                {
-                    auto l = std::lock_guard(mu_);
-                    edge->waiting(x, a, bootNow());
+        }
+        if (!broken && p->is_done()) break;
+        // A sender that reads slowly holds the server back, not the memory full.
+        while (streamed && !broken) {
+            auto d = std::shared_ptr<Down>();
+            {
+                auto l = std::lock_guard(mu_);
+                if (!edge->find(x) || u->dropped) {
+                    ups_.erase({x, a});
+                    co_return;
                 }
-                auto t = asio::steady_timer(u->ex, std::chrono::milliseconds(20));
-                co_await t.async_wait(quiet);
+                d = down(x);
+            }
+            {
+                auto l = std::lock_guard(d->mu);
+                if (d->bytes < HELD) break;
             }
+            {
+                auto l = std::lock_guard(mu_);
+                edge->waiting(x, a, bootNow());
+            }
+            auto t = asio::steady_timer(u->ex, std::chrono::milliseconds(20));
+            co_await t.async_wait(quiet);
         }
-        if (ec)
+        if (!broken) {
+            co_await more();
+            broken = ec;
+        }
+        if (broken)
             co_return lost(streamed ? "the stream closed before its completion mark"
-                                    : "the reply was cut: " + ec.message());
+                                    : "the reply was cut: " + broken.message());
     }
-    if (streamed) co_return lost("the stream ended without its completion mark");
+    // A byte after the whole reply condemns the connection, not the reply.
+    auto life = b.size() == 0 && p->get().keep_alive() ? keepFor(h) : 0;
+    auto rest = streamed && !sp.buf.empty();
+    body = std::move(p->get().body());
     auto l = std::lock_guard(mu_);
-    edge->upWhole(x, a, status, h, body, bootNow());
+    if (rest) edge->upLost(x, a, "bytes after the stream's last event", bootNow());
+    else if (streamed) edge->upEnd(x, a, bootNow());
+    else edge->upWhole(x, a, status, h, body, bootNow());
+    if (!rest) keep(*u, life);
     ups_.erase({x, a});
 }
 
@@ -425,62 +609,80 @@
 
 // ---- towards the senders
 
+// A reply's head. What the logic gives is kept as it is, less what concerns one connection.
+static auto headText(const Req& q, int status, const Headers& h, bool keep, Us idle) -> Str {
+    auto t = fmt::format("HTTP/1.1 {} {}\r\n", status, Str(http::obsolete_reason(http::status(status))));
+    auto names = Str();
+    for (auto& [k, v] : h)
+        if (beast::iequals(k, "Connection")) names += (names.empty() ? "" : ",") + v;
+    auto head = q.method() == http::verb::head;
+    for (auto& [k, v] : h)
+        if (!hopByHop(k, names) || (head && beast::iequals(k, "Content-Length"))) t += k + ": " + v + "\r\n";
+    if (!keep) t += "Connection: close\r\n";
+    else if (q.version() == 10) t += "Connection: keep-alive\r\n";
+    // A second less than what is kept to, so that a request and the close do not cross.
+    if (keep && idle >= 2 * SEC) t += fmt::format("Keep-Alive: timeout={}\r\n", idle / SEC - 1);
+    return t;
+}
+
 auto Daemon::exchange(beast::tcp_stream& s, beast::flat_buffer& b, const Req& q) -> awaitable<bool> {
     auto ex = co_await asio::this_coro::executor;
     auto tm = std::make_shared<asio::steady_timer>(ex);
     auto h = Headers();
-    auto hop = beast::http::token_list(q[http::field::connection]);
+    auto hop = Str();
+    for (auto [i, e] = q.equal_range(http::field::connection); i != e; ++i)
+        hop += (hop.empty() ? "" : ",") + Str(i->value());
     for (auto& f : q) {
         // What concerns this connection only is not passed on, nor what its Connection names.
-        if (hop.exists(f.name_string())) continue;
-        switch (f.name()) {
-        case http::field::host:
-        case http::field::connection:
-        case http::field::content_length:
-        case http::field::transfer_encoding:
-        case http::field::keep_alive:
-        case http::field::te:
-        case http::field::trailer:
-        case http::field::upgrade:
-        case http::field::expect:
-        case http::field::proxy_authorization:
-        case http::field::proxy_connection: continue;
-        default: h.emplace_back(Str(f.name_string()), Str(f.value()));
-        }
+        auto k = View(f.name_string().data(), f.name_string().size());
+        if (!hopByHop(k, hop)) h.emplace_back(Str(k), Str(f.value()));
     }
     auto id = std::int64_t(0);
     auto d = std::shared_ptr<Down>();
+    auto idle = Us(0);
     {
         auto l = std::lock_guard(mu_);
+        if (ad) idle = lim_.idle;
         id = edge->accept(Str(q.method_string()), Str(q.target()), h, q.body(), bootNow());
         d = down(id);
         auto l2 = std::lock_guard(d->mu);
         d->wake = [ex, tm] { asio::post(ex, [tm] { tm->cancel(); }); };
     }
-    // Notices a sender that goes away while it waits.
-    auto over = std::make_shared<bool>(false);
-    auto sockp = &s;
-    auto self = this;
-    if (b.size() == 0)
-        s.socket().async_wait(tcp::socket::wait_read, [over, sockp, self, id](beast::error_code ec) {
-            if (*over) return;
-            char c;
-            auto e2 = beast::error_code();
+    // Notices a sender that goes away while it waits; what it sends ahead is kept.
+    struct Watch {
+        beast::tcp_stream& s;
+        beast::flat_buffer& b;
+        Daemon& d;
+        std::int64_t id;
+        bool over = false;
+    };
+    auto w = std::make_shared<Watch>(Watch{s, b, *this, id});
+    static constexpr auto watch = [](auto self, std::shared_ptr<Watch> w) -> void {
+        w->s.socket().async_wait(tcp::socket::wait_read, [self, w](beast::error_code ec) {
+            if (w->over) return;
             if (!ec) {
-                sockp->socket().non_blocking(true, e2);
-                auto n = sockp->socket().receive(asio::buffer(&c, 1), tcp::socket::message_peek, e2);
-                if (n > 0 || e2 == asio::error::would_block) return;
+                w->s.socket().non_blocking(true, ec);
+                auto n = w->s.socket().read_some(w->b.prepare(2048), ec);
+                w->b.commit(n);
+                if (ec == asio::error::would_block) ec = {};
+                if (!ec) {
+                    if (w->b.size() < AHEAD) self(self, w);
+                    return;
+                }
             }
-            auto l = std::lock_guard(self->mu_);
-            self->edge->gone(id, bootNow());
-            self->push(id, [](Down& d) { d.ended = true, d.whole = false; });
+            auto l = std::lock_guard(w->d.mu_);
+            w->d.edge->gone(w->id, bootNow());
+            w->d.push(w->id, [](Down& d) { d.ended = true, d.whole = false; });
         });
+    };
+    if (b.size() < AHEAD) watch(watch, w);
     auto ec = beast::error_code();
     std::size_t n = 0;
-    auto good = true, begun = false;
-    auto res = http::response<http::empty_body>();
+    auto good = true, begun = false, plain = q.version() < 11;
+    auto keep = q.keep_alive();
+    auto noBody = q.method() == http::verb::head;
     while (good) {
-        auto part = Str();
+        auto parts = std::deque<Str>();
         auto ready = false, fin = false, wh = false, st = false;
         {
             auto l = std::lock_guard(d->mu);
@@ -488,63 +690,67 @@
             fin = d->ended;
             wh = d->whole;
             st = d->stream;
-            while (!d->parts.empty() && ready) {
-                part += d->parts.front();
-                d->parts.pop_front();
+            if (ready) {
+                parts.swap(d->parts);
+                d->bytes = 0;
             }
-            d->bytes = 0;
         }
         if (!ready && fin) {
             good = false;
             break;
         }
-        if (ready && !st) {
-            auto r = Res(http::status(d->status), 11);
-            for (auto& [k, v] : d->h) r.set(k, v);
-            r.keep_alive(q.keep_alive());
-            r.body() = part;
-            r.prepare_payload();
-            s.expires_after(std::chrono::seconds(30));
-            std::tie(ec, n) = co_await http::async_write(s, r, quiet);
-            good = !ec && q.keep_alive();
-            break;
-        }
+        auto out = Str();
         if (ready && !begun) {
             begun = true;
-            res.result(unsigned(d->status));
-            res.version(11);
-            for (auto& [k, v] : d->h) res.set(k, v);
-            res.set(http::field::cache_control, "no-cache");
-            res.keep_alive(q.keep_alive());
-            res.chunked(true);
-            auto sr = http::response_serializer<http::empty_body>(res);
-            s.expires_after(std::chrono::seconds(30));
-            std::tie(ec, n) = co_await http::async_write_header(s, sr, quiet);
-            if (ec) good = false;
-        }
-        if (good && !part.empty()) {
-            s.expires_after(std::chrono::seconds(30));
-            std::tie(ec, n) = co_await asio::async_write(s, http::make_chunk(asio::buffer(part)), quiet);
-            if (ec) good = false;
-        }
-        if (fin && good) {
-            // No final chunk for a stream that is not whole.
-            if (wh) std::tie(ec, n) = co_await asio::async_write(s, http::make_chunk_last(), quiet);
-            good = wh && !ec && q.keep_alive();
+            keep = keep && !closing_ && !(st && plain);
+            out = headText(q, d->status, d->h, keep, idle);
+            if (!st) {
+                auto none = d->status == 204 || d->status == 304 || d->status / 100 == 1;
+                auto len = parts.empty() ? std::size_t(0) : parts.front().size();
+                if (!none && !noBody) out += fmt::format("Content-Length: {}\r\n", len);
+                out += "\r\n";
+                auto body = none || noBody || parts.empty() ? Str() : std::move(parts.front());
+                s.expires_after(std::chrono::microseconds(WRITE));
+                std::tie(ec, n) =
+                    co_await asio::async_write(s, std::array{asio::buffer(out), asio::buffer(body)}, quiet);
+                good = !ec && keep;
+                break;
+            }
+            if (!ad || !ad->dialect.passHeaders) out += "Cache-Control: no-cache\r\n";
+            out += plain ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n";
+        }
+        if (ready && !noBody)
+            for (auto& t : parts) {
+                if (t.empty()) continue;
+                if (!plain) out += fmt::format("{:x}\r\n", t.size());
+                out += t;
+                if (!plain) out += "\r\n";
+            }
+        // No final chunk for a stream that is not whole.
+        if (fin && wh && !plain && !noBody) out += "0\r\n\r\n";
+        if (!out.empty()) {
+            s.expires_after(std::chrono::microseconds(WRITE));
+            std::tie(ec, n) = co_await asio::async_write(s, asio::buffer(out), quiet);
+            s.expires_never();
+            good = !ec;
+        }
+        if (fin) {
+            // Without chunks only a reset shows that the end came early.
+            if (!wh && plain) s.socket().set_option(asio::socket_base::linger(true, 0), ec);
+            good = good && wh && keep;
             break;
         }
         if (!good) break;
         auto more = false;
         {
             auto l = std::lock_guard(d->mu);
-            more = !d->parts.empty() && d->headReady;
-            more = more || (d->headReady && !begun) || d->ended;
+            more = d->ended || (d->headReady && (!begun || !d->parts.empty()));
         }
         if (more) continue;
         tm->expires_at(asio::steady_timer::time_point::max());
         co_await tm->async_wait(quiet);
     }
-    *over = true;
+    w->over = true;
     s.socket().cancel(ec);
     {
         auto l = std::lock_guard(mu_);
@@ -554,32 +760,64 @@
     co_return good;
 }
 
-auto Daemon::session(tcp::socket sk, bool opr) -> awaitable<void> {
-    auto s = beast::tcp_stream(std::move(sk));
-    auto b = beast::flat_buffer(9u << 20);
+auto Daemon::session(tcp::socket sk, Listen& at) -> awaitable<void> {
+    auto sp = std::make_shared<beast::tcp_stream>(std::move(sk));
+    auto& s = *sp;
+    auto b = beast::flat_buffer(64u << 20);
     auto ec = beast::error_code();
     std::size_t n = 0;
-    s.socket().set_option(tcp::no_delay(true), ec);
+    socketSet(s.socket().native_handle(), UNHEARD_SENDER);
     sessions_++;
-    for (auto i = 0; i < 100000; i++) {
+    while (true) {
+        auto lim = Limits();
+        auto refusing = false;
+        {
+            auto l = std::lock_guard(mu_);
+            if (ad && at.kind == Listen::Sender) lim = lim_;
+            refusing = refusing_;
+            if (b.size() == 0 && !refusing) idle_.insert(sp);
+        }
+        if (b.size() == 0) {
+            if (b.capacity() > 2 * READ) b.shrink_to_fit();
+            if (refusing) break;
+            s.expires_after(std::chrono::microseconds(lim.idle));
+            std::tie(ec, n) = co_await s.async_read_some(b.prepare(READ / 2), quiet);
+            {
+                auto l = std::lock_guard(mu_);
+                idle_.erase(sp);
+            }
+            if (ec) break;
+            b.commit(n);
+        }
         auto p = http::request_parser<http::string_body>();
-        p.header_limit(16 * 1024);
-        p.body_limit(8u << 20);
-        s.expires_after(std::chrono::seconds(i ? 60 : 10));
+        p.header_limit(std::uint32_t(lim.headerBytes));
+        p.body_limit(lim.bodyBytes);
+        s.expires_after(std::chrono::microseconds(lim.headerRead));
         std::tie(ec, n) = co_await http::async_read_header(s, b, p, quiet);
         auto deny = [&](http::status st, Str why) -> awaitable<void> {
             auto r = Res(st, 11);
             r.set(http::field::content_type, "application/json");
-            r.set("X-Not-Executed", "true");
-            if (st == http::status::service_unavailable) r.set(http::field::retry_after, "1");
+            if (auto k = ad ? ad->dialect.notExecuted : Str("X-Not-Executed"); !k.empty()) r.set(k, "true");
             r.keep_alive(false);
             r.body() = errorBody({{"/", why}});
             r.prepare_payload();
             s.expires_after(std::chrono::seconds(2));
             co_await http::async_write(s, r, quiet);
+            // What still comes is read for a moment: closed with unread bytes, the reply is lost.
+            s.socket().shutdown(tcp::socket::shutdown_send, ec);
+            auto sink = std::array<char, 4096>();
+            for (auto left = std::size_t(4u << 20); left > 0;) {
+                std::tie(ec, n) = co_await s.async_read_some(asio::buffer(sink), quiet);
+                if (ec) break;
+                left -= std::min(left, n);
+            }
         };
-        if (!ec) {
-            s.expires_after(std::chrono::seconds(10));
+        if (!ec && p.get().count(http::field::transfer_encoding) && !p.chunked()) {
+            co_await deny(http::status::bad_request, "malformed request: the body's end is not told");
+            break;
+        }
+        if (!ec && !p.is_done()) {
+            s.expires_after(std::chrono::microseconds(BODY_READ));
             if (beast::iequals(p.get()[http::field::expect], "100-continue")) {
                 auto c = http::response<http::empty_body>(http::status::continue_, 11);
                 co_await http::async_write(s, c, quiet);
@@ -587,10 +825,9 @@
             std::tie(ec, n) = co_await http::async_read(s, b, p, quiet);
         }
         if (ec) {
-            {
+            if (ec != http::error::end_of_stream && ec != asio::error::operation_aborted) {
                 auto l = std::lock_guard(ctm_);
-                if (ec != http::error::end_of_stream && ec != asio::error::operation_aborted)
-                    ct2_.add("bad_input_total");
+                ct2_.add("bad_input_total");
             }
             if (ec == http::error::header_limit)
                 co_await deny(http::status::request_header_fields_too_large, "the header is too large");
@@ -606,33 +843,89 @@
         auto q = p.release();
         s.expires_never();
         auto path = Str(q.target());
-        if (opr || path.starts_with("/v1/where") || path == "/healthz" || path == "/readyz") {
-            auto r = co_await operate(q);
-            r.version(11);
-            r.keep_alive(q.keep_alive());
-            r.prepare_payload();
-            s.expires_after(std::chrono::seconds(10));
-            std::tie(ec, n) = co_await http::async_write(s, r, quiet);
-            if (ec || !q.keep_alive()) break;
-        } else if (!co_await exchange(s, b, q)) break;
+        if (at.kind == Listen::Sender
+            && (ad || !(path.starts_with("/v1/where") || path == "/healthz" || path == "/readyz"))) {
+            if (!co_await exchange(s, b, q)) break;
+            continue;
+        }
+        auto r = Res();
+        if (at.kind == Listen::Adapted) r = co_await adapted(at.addr, q);
+        else r = co_await operate(q);
+        auto keep = q.keep_alive() && !closing_;
+        r.version(11);
+        r.keep_alive(keep);
+        r.prepare_payload();
+        s.expires_after(std::chrono::seconds(10));
+        std::tie(ec, n) = co_await http::async_write(s, r, quiet);
+        if (ec || !keep) break;
+    }
+    {
+        auto l = std::lock_guard(mu_);
+        idle_.erase(sp);
     }
     s.socket().shutdown(tcp::socket::shutdown_both, ec);
     s.socket().close(ec);
     sessions_--;
 }
 
-auto Daemon::listen(tcp::acceptor& ac, bool opr) -> awaitable<void> {
-    while (ac.is_open()) {
-        auto [ec, sk] = co_await ac.async_accept(asio::make_strand(io), quiet);
+auto Daemon::listen(Listen& at) -> awaitable<void> {
+    while (at.ac.is_open()) {
+        auto [ec, sk] = co_await at.ac.async_accept(asio::make_strand(io), quiet);
         if (ec) {
             if (ec == asio::error::operation_aborted) co_return;
             auto t = asio::steady_timer(io, std::chrono::milliseconds(50));
             co_await t.async_wait(quiet);
             continue;
         }
-        if (sessions_ >= 4000) continue;  // closed at once
+        if (sessions_ >= SESSIONS) continue;  // closed at once
         auto ex = sk.get_executor();
-        asio::co_spawn(ex, session(std::move(sk), opr), asio::detached);
+        asio::co_spawn(ex, session(std::move(sk), at), asio::detached);
+    }
+}
+
+// Opens every address once; the reason if that fails.
+auto Daemon::bind() -> Str {
+    auto add = [&](Listen::Kind k, const Str& a) {
+        if (a.empty()) return;
+        for (auto& l : listens_)
+            if (l->addr == a) return;
+        listens_.push_back(std::make_unique<Listen>(k, a, tcp::acceptor(io)));
+    };
+    add(Listen::Sender, op.st.sender);
+    if (ad)
+        for (auto& a : ad->listens) add(Listen::Adapted, a);
+    if (op.operatorListens) add(Listen::Operator, op.st.opr);
+    for (auto& l : listens_) try {
+            auto ep = endpoint(l->addr);
+            l->ac.open(ep.protocol());
+            l->ac.set_option(tcp::acceptor::reuse_address(true));
+            l->ac.bind(ep);
+            l->ac.listen(1024);
+        } catch (const std::exception& e) {
+            return l->addr + ": " + e.what();
+        }
+    return "";
+}
+
+auto Daemon::adapted(const Str& at, const Req& q) -> awaitable<Res> {
+    try {
+        co_return co_await ad->serve(at, q, *this);
+    } catch (const std::exception& e) {
+        logf("adapter: {}: {}", clip(Str(q.target())), e.what());
+    }
+    co_return Res(http::status::internal_server_error, 11);
+}
+
+auto Daemon::duties() -> awaitable<void> {
+    while (true) {
+        try {
+            co_await ad->duties(*this);
+            co_return;
+        } catch (const std::exception& e) {
+            logf("adapter: duties: {}", e.what());
+        }
+        auto t = asio::steady_timer(io, std::chrono::seconds(1));
+        co_await t.async_wait(quiet);
     }
 }
 
@@ -683,19 +976,17 @@
         if (o.status == 503 || o.status == 504) r.set(http::field::retry_after, "1");
     };
     auto key = Str(q["Idempotency-Key"]);
-    auto order = [&](const Str& o) -> awaitable<Outcome> {
+    auto ordered = [&](const Str& o) -> awaitable<Outcome> {
         auto k = key.empty() ? fmt::format("{}-{:x}-{}", op.st.node, node->me().boot, ++keys_) : clip(key);
         r.set("Idempotency-Key", k);
-        co_return co_await await([&](std::int64_t id) { node->order(id, o, k, q.body(), bootNow()); });
+        co_return co_await order(o, k, q.body());
     };
     if (path == "/v1/where" && get) {
-        auto l = std::lock_guard(mu_);
-        r.body() = node->where(query(target, "region"), query(target, "district"), now);
+        r.body() = where(query(target, "region"), query(target, "district"));
     } else if (path == "/healthz" && get) {
         r.body() = "{\"live\":true}";
     } else if (path == "/readyz" && get) {
-        auto l = std::lock_guard(mu_);
-        auto ok = node->ready(now) && !stopping_;
+        auto ok = ready();
         set({ok ? 200 : 503, bodyOf({{"ready", ok ? "true" : "false"}})});
     } else if (path == "/metrics" && get) {
         r.set(http::field::content_type, "text/plain; version=0.0.4");
@@ -724,7 +1015,7 @@
     } else if ((path == "/v1/config" || path == "/v1/word" || path == "/v1/plan"
                    || path.starts_with("/v1/orders/"))
         && get) {
-        auto o = co_await await([&](std::int64_t id) { node->read(id, bootNow()); });
+        auto o = co_await readWord();
         if (o.status == 200 && path != "/v1/word") {
             auto w = Word();
             w.load(o.body);
@@ -747,11 +1038,11 @@
         }
         set(o);
     } else if (path == "/v1/config" && q.method() == http::verb::put) {
-        set(co_await order("config"));
+        set(co_await ordered("config"));
     } else if (path == "/v1/config" && q.method() == http::verb::patch) {
-        set(co_await order("merge"));
+        set(co_await ordered("merge"));
     } else if (path.starts_with("/v1/orders/") && q.method() == http::verb::post) {
-        set(co_await order(path.substr(11)));
+        set(co_await ordered(path.substr(11)));
     } else if (path == "/v1/rescue" && q.method() == http::verb::post) {
         auto j = Doc();
         if (!jsParse(q.body(), j)) set({400, errorBody({{"/", "malformed JSON"}})});
@@ -762,7 +1053,7 @@
             set(node->rescue(jsInt(j, "reign"), jsInt(j, "generation"), bootNow()));
         }
     } else if (path == "/v1/platform/servers" && q.method() == http::verb::put) {
-        set(co_await await([&](std::int64_t id) { node->list(id, q.body(), bootNow()); }));
+        set(co_await list(q.body()));
     } else if (path.starts_with("/v1/platform/servers/") && path.ends_with("/leaving")
         && q.method() == http::verb::post) {
         auto n = path.substr(21, path.size() - 21 - 8);
@@ -782,35 +1073,121 @@
 
 auto Daemon::ticker() -> awaitable<void> {
     auto t = asio::steady_timer(io);
+    auto swept = Us(0);
     while (true) {
         t.expires_after(std::chrono::milliseconds(20));
         co_await t.async_wait(quiet);
-        auto l = std::lock_guard(mu_);
-        auto now = bootNow();
-        node->tick(now, wallNow());
-        edge->tick(now);
-        ct_.set("sessions", sessions_);
-        if (stopping_ && (edge->busy() == 0 || now >= stopAt_)) {
-            if (now - (stopAt_ - op.drain) < 500 * MS) continue;  // the duty's handing over takes a moment
-            if (edge->busy()) {
-                logf("stop: {} exchanges cut at the drain's limit", edge->busy());
-                edge->cutAll(now);
-                edge->tick(now);
+        auto quietOuts = std::vector<std::unique_ptr<Out>>();
+        {
+            auto l = std::lock_guard(mu_);
+            auto now = bootNow();
+            node->tick(now, wallNow());
+            edge->tick(now);
+            if (auto& w = node->word(); w.gen != limGen_ || w.reign != limReign_) {
+                lim_ = limitsOf(w.config());
+                limGen_ = w.gen;
+                limReign_ = w.reign;
             }
-            io.stop();
-            co_return;
+            if (now - swept > 200 * MS) {
+                swept = now;
+                ct_.set("sessions", sessions_);
+                for (auto id : pool_.expire(now)) kept_.erase(id);
+                auto l2 = std::lock_guard(qmu_);
+                for (auto i = outs_.begin(); i != outs_.end();)
+                    if (i->second->idle(now)) {
+                        quietOuts.push_back(std::move(i->second));
+                        i = outs_.erase(i);
+                    } else ++i;
+            }
+            if (stop_.at && stopStep(now)) {
+                io.stop();
+                co_return;
+            }
+        }
+    }
+}
+
+// ---- a planned stop
+
+auto Daemon::stopBegin() -> void {
+    auto l = std::lock_guard(mu_);
+    if (stop_.at) return;
+    logf("stop: draining for at most {} us", ad ? op.grace : op.drain);
+    stop_ = {bootNow(), ad ? op.grace : op.drain};
+    node->leave(stop_.at);
+    for (auto& [id, s] : kept_) s->close();
+    kept_.clear();
+    pool_ = {};
+    if (ad) closing_ = true;
+    else edge->drain();
+}
+// True once the process may end. With mu_ held.
+auto Daemon::stopStep(Us now) -> bool {
+    // A reply that its session has not written yet is as unfinished as its exchange was.
+    auto busy = edge->busy() > 0 || !downs_.empty();
+    auto cut = [&] {
+        if (cut_) return;
+        cut_ = true;
+        if (edge->busy()) {
+            logf("stop: {} exchanges cut at the drain's limit", edge->busy());
+            edge->cutAll(now);
+            edge->tick(now);
         }
+    };
+    if (!ad) {
+        if (now - stop_.at < 500 * MS) return false;  // the duty's handing over takes a moment
+        if (now - stop_.at >= stop_.grace) cut();
+        return !busy || now - stop_.at >= stop_.grace + 200 * MS;
     }
+    auto st = stop_.step(now, busy);
+    if (st == StopSchedule::Serve) return false;
+    if (!refusing_) {
+        refusing_ = true;
+        edge->refuseNew();
+        idleClose();
+    }
+    if (st == StopSchedule::Cut) cut();
+    return st == StopSchedule::End || now - stop_.at >= stop_.grace * 95 / 100;
+}
+// Senders' connections that carry no request end now. With mu_ held.
+auto Daemon::idleClose() -> void {
+    for (auto& s : idle_)
+        asio::post(s->get_executor(), [this, s] {
+            auto l = std::lock_guard(mu_);
+            if (idle_.contains(s)) s->cancel();
+        });
+}
+auto Daemon::hup() -> void {
+    hup_->async_wait([this](beast::error_code ec, int) {
+        if (ec) return;
+        logf("SIGHUP: {}", ad ? "the settings are read again" : "settings are read at a start only");
+        try {
+            if (ad) ad->reload();
+        } catch (const std::exception& e) {
+            logf("adapter: reload: {}", e.what());
+        }
+        hup();
+    });
 }
 
 auto Daemon::run() -> int {
     signal(SIGPIPE, SIG_IGN);
+    // Memory that is free goes back; and the threads, which are many, share their heaps.
+    mallopt(M_ARENA_MAX, 2);
+    mallopt(M_MMAP_THRESHOLD, 128 << 10);
+    mallopt(M_TRIM_THRESHOLD, 256 << 10);
+    // The workers' stacks are the main thread's and the system's; those of peers are small.
+    auto attr = pthread_attr_t();
+    pthread_attr_init(&attr);
+    pthread_attr_setstacksize(&attr, 512 << 10);
+    pthread_setattr_default_np(&attr);
+    pthread_attr_destroy(&attr);
     tt::GlobalOutput.setOutputFunction([](const char*) {});
     auto rd = std::random_device();
     auto seed = (std::uint64_t(rd()) << 32) ^ rd();
     // Two lives of one node never share a number, and a later one's is higher.
     node = std::make_unique<Node>(op.st, *this, ct_, wallNow(), seed);
-    edge = std::make_unique<Edge>(*node, *this, ct_, seed ^ 0x5a5a);
+    edge = std::make_unique<Edge>(*node, *this, ct_, seed ^ 0x5a5a, ad ? ad->dialect : Dialect());
     auto dt = std::thread();
     if (op.core) {
         auto r = store.open(op.st.data);
@@ -829,23 +1206,15 @@
         node->hints(ps);
         node->startCore(*r, fmt::format("{:016x}", hash64(op.st.node, seed)), bootNow());
     }
-    auto sa = tcp::acceptor(io), oa = tcp::acceptor(io);
-    try {
-        for (auto [a, addr] : {std::pair(&sa, op.st.sender), {&oa, op.st.opr}}) {
-            auto ep = endpoint(addr);
-            a->open(ep.protocol());
-            a->set_option(tcp::acceptor::reuse_address(true));
-            a->bind(ep);
-            a->listen(1024);
-        }
-    } catch (const std::exception& e) {
-        fmt::print(stderr, "duneturn: cannot listen: {}\n", e.what());
+    if (auto why = bind(); !why.empty()) {
+        fmt::print(stderr, "duneturn: cannot listen: {}\n", why);
         return 1;
     }
     auto pa = *addrParse(op.st.peer);
     auto ss = std::make_shared<tt::transport::TServerSocket>(pa.ip, pa.port);
-    ss->setRecvTimeout(15000);
+    ss->setRecvTimeout(45000);  // longer than a peer's own thread stays idle
     ss->setSendTimeout(2000);
+    ss->setAcceptCallback([](int fd) { socketSet(fd, 2 * SEC); });
     auto conf = std::make_shared<tt::TConfiguration>(8 << 20, 8 << 20, 64);
     struct Framed : tt::transport::TFramedTransportFactory {
         std::shared_ptr<tt::TConfiguration> c;
@@ -875,19 +1244,16 @@
         op.st.node, op.st.district, op.st.region, op.st.peer, op.st.sender, op.st.opr);
     auto sig = asio::signal_set(io, SIGTERM, SIGINT);
     sig.async_wait([&](beast::error_code ec, int) {
-        if (ec) return;
-        auto l = std::lock_guard(mu_);
-        logf("stop: draining for at most {} us", op.drain);
-        stopping_ = true;
-        stopAt_ = bootNow() + op.drain;
-        node->leave(bootNow());
-        edge->drain();
+        if (!ec) stopBegin();
     });
-    asio::co_spawn(io, listen(sa, false), asio::detached);
-    asio::co_spawn(io, listen(oa, true), asio::detached);
+    hup_ = std::make_unique<asio::signal_set>(io, SIGHUP);
+    hup();
+    for (auto& l : listens_) asio::co_spawn(io, listen(*l), asio::detached);
     asio::co_spawn(io, ticker(), asio::detached);
+    if (ad) asio::co_spawn(io, duties(), asio::detached);
     auto ws = std::vector<std::thread>();
-    for (auto i = 0; i < op.workers; i++) ws.emplace_back([this] { io.run(); });
+    for (auto i = 1; i < op.workers; i++) ws.emplace_back([this] { io.run(); });
+    io.run();
     for (auto& w : ws) w.join();
     srv.stop();
     {
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -1,5 +1,9 @@
 #include "http.hpp"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 namespace dt {
 
 auto EventSplit::next(Event& e) -> bool {
@@ -41,35 +45,150 @@
     return {asio::ip::make_address(a->ip), a->port};
 }
 
+auto socketSet(int fd, Us unheard) -> void {
+    auto set = [&](int level, int what, int v) { ::setsockopt(fd, level, what, &v, sizeof v); };
+    set(IPPROTO_TCP, TCP_NODELAY, 1);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, int(unheard / MS));
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, int(std::max(unheard, SEC) / SEC));
+    set(IPPROTO_TCP, TCP_KEEPINTVL, 1);
+    set(IPPROTO_TCP, TCP_KEEPCNT, 3);
+}
+
+auto limitsOf(const Val& c) -> Limits {
+    auto l = Limits();
+    if (!c.IsObject() || !c.HasMember("limits") || !c["limits"].IsObject()) return l;
+    auto& v = c["limits"];
+    auto take = [&](const char* k, std::int64_t d) {
+        auto n = jsInt(v, k, d);
+        return n > 0 ? n : d;
+    };
+    l.headerBytes = std::size_t(take("headerBytes", std::int64_t(l.headerBytes)));
+    l.bodyBytes = std::size_t(take("bodyBytes", std::int64_t(l.bodyBytes)));
+    l.headerRead = take("headerReadUs", l.headerRead);
+    l.idle = take("idleUs", l.idle);
+    return l;
+}
+
+auto hopByHop(View n, View connection) -> bool {
+    auto is = [&](View x) { return beast::iequals(n, x); };
+    if (is("Connection") || is("Keep-Alive") || is("Transfer-Encoding") || is("Content-Length") || is("TE")
+        || is("Trailer") || is("Upgrade") || is("Proxy-Connection") || is("Proxy-Authorization")
+        || is("Proxy-Authenticate") || is("Expect"))
+        return true;
+    return !connection.empty() && http::token_list(connection).exists(n);
+}
+
+auto keepAliveSeconds(View v) -> std::int64_t {
+    for (auto i = std::size_t(0); i < v.size();) {
+        auto j = std::min(v.find_first_of(",;", i), v.size());
+        auto t = v.substr(i, j - i);
+        i = j + 1;
+        while (!t.empty() && t.front() == ' ') t.remove_prefix(1);
+        if (t.size() < 8 || !beast::iequals(t.substr(0, 7), "timeout")) continue;
+        t.remove_prefix(7);
+        while (!t.empty() && (t.front() == ' ' || t.front() == '=')) t.remove_prefix(1);
+        auto n = std::int64_t(0), d = std::int64_t(0);
+        for (; !t.empty() && t.front() >= '0' && t.front() <= '9' && d < 9; t.remove_prefix(1), d++)
+            n = n * 10 + (t.front() - '0');
+        return d ? n : -1;
+    }
+    return -1;
+}
+
+auto keepFor(const Headers& h) -> Us {
+    auto t = 4 * SEC;
+    for (auto& [k, v] : h) {
+        if (beast::iequals(k, "Connection") && http::token_list(v).exists("close")) return 0;
+        if (beast::iequals(k, "Keep-Alive"))
+            // The server counts from its last byte, which left it before it came here.
+            if (auto n = keepAliveSeconds(v); n >= 0) t = std::min(t, std::max<Us>(0, (n - 1) * SEC));
+    }
+    return t;
+}
+
+auto Pool::put(const Str& key, std::int64_t id, Us till, Us now) -> std::vector<std::int64_t> {
+    auto out = std::vector<std::int64_t>();
+    if (till <= now || !perServer) return {id};
+    auto& v = m_[key];
+    while (v.size() >= perServer) {
+        out.push_back(v.front().id);
+        v.erase(v.begin());
+        n_--;
+    }
+    if (n_ >= all) {
+        if (v.empty()) m_.erase(key);
+        out.push_back(id);
+        return out;
+    }
+    v.push_back({id, till});
+    n_++;
+    return out;
+}
+auto Pool::take(const Str& key, Us now) -> std::int64_t {
+    auto i = m_.find(key);
+    if (i == m_.end() || i->second.back().till <= now) return -1;  // expire() closes it
+    auto id = i->second.back().id;
+    i->second.pop_back();
+    n_--;
+    if (i->second.empty()) m_.erase(i);
+    return id;
+}
+auto Pool::expire(Us now) -> std::vector<std::int64_t> {
+    auto out = std::vector<std::int64_t>();
+    for (auto i = m_.begin(); i != m_.end();) {
+        std::erase_if(i->second, [&](auto& c) {
+            if (c.till > now) return false;
+            out.push_back(c.id);
+            return true;
+        });
+        i = i->second.empty() ? m_.erase(i) : std::next(i);
+    }
+    n_ -= out.size();
+    return out;
+}
+
+auto StopSchedule::step(Us now, bool busy) const -> Step {
+    if (!at) return Serve;
+    auto t = now - at;
+    if (!busy && t >= std::min(FIRST, grace * 85 / 100)) return End;
+    if (t >= grace * 85 / 100) return Cut;
+    return t >= grace * 40 / 100 ? Refuse : Serve;
+}
+
+auto fetch(Str addr, Str method, Str path, Str body, Headers h, Us limit)
+    -> asio::awaitable<tl::expected<Res, CallError>> {
+    auto a = addrParse(addr);
+    if (!a) co_return tl::make_unexpected(CallError{addr + ": " + a.error()});
+    try {
+        auto s = beast::tcp_stream(co_await asio::this_coro::executor);
+        s.expires_after(std::chrono::microseconds(limit));
+        co_await s.async_connect(endpoint(addr), asio::use_awaitable);
+        socketSet(s.socket().native_handle(), 2 * SEC);
+        auto q = Req(http::string_to_verb(method), path, 11);
+        q.set(http::field::host, addr);
+        for (auto& [k, v] : h) q.set(k, v);
+        if (!body.empty()) q.set(http::field::content_type, "application/json");
+        q.keep_alive(false);
+        q.body() = std::move(body);
+        q.prepare_payload();
+        co_await http::async_write(s, q, asio::use_awaitable);
+        auto b = beast::flat_buffer();
+        auto p = http::response_parser<http::string_body>();
+        p.body_limit(64u << 20);
+        co_await http::async_read(s, b, p, asio::use_awaitable);
+        co_return p.release();
+    } catch (const std::exception& e) {
+        co_return tl::make_unexpected(CallError{fmt::format("{}: {}", addr, e.what())});
+    }
+}
+
 auto call(const Str& addr, const Str& method, const Str& path, const Str& body, const Headers& h, Us limit)
     -> tl::expected<Res, CallError> {
-    auto a = addrParse(addr);
-    if (!a) return tl::make_unexpected(CallError{addr + ": " + a.error()});
     auto io = asio::io_context();
-    auto s = beast::tcp_stream(io);
     auto out = tl::expected<Res, CallError>(tl::make_unexpected(CallError{"no reply from " + addr}));
     asio::co_spawn(
-        io,
-        [&]() -> asio::awaitable<void> {
-            try {
-                s.expires_after(std::chrono::microseconds(limit));
-                co_await s.async_connect(endpoint(addr), asio::use_awaitable);
-                auto q = Req(http::string_to_verb(method), path, 11);
-                q.set(http::field::host, addr);
-                for (auto& [k, v] : h) q.set(k, v);
-                if (!body.empty()) q.set(http::field::content_type, "application/json");
-                q.body() = body;
-                q.prepare_payload();
-                co_await http::async_write(s, q, asio::use_awaitable);
-                auto b = beast::flat_buffer();
-                auto p = http::response_parser<http::string_body>();
-                p.body_limit(64u << 20);
-                co_await http::async_read(s, b, p, asio::use_awaitable);
-                out = p.release();
-            } catch (const std::exception& e) {
-                out = tl::make_unexpected(CallError{fmt::format("{}: {}", addr, e.what())});
-            }
-        },
+        io, [&]() -> asio::awaitable<void> { out = co_await fetch(addr, method, path, body, h, limit); },
         asio::detached);
     io.run();
     return out;
--- a/src/http.hpp
+++ b/src/http.hpp
@@ -25,13 +25,64 @@
     auto tooLong() const -> bool { return buf.size() > limit; }
 };
 
+/// What the configuration in force allows a sender: "limits".
+struct Limits {
+    std::size_t headerBytes = 16 * 1024, bodyBytes = 8u << 20;
+    Us headerRead = 10 * SEC;  // from a request's first byte to its header's last
+    Us idle = 60 * SEC;        // how long a connection may say nothing between requests
+};
+auto limitsOf(const Val& config) -> Limits;
+
+/// Whether a header concerns one connection only; `connection` is the Connection header's value.
+auto hopByHop(View name, View connection) -> bool;
+/// The seconds of a Keep-Alive header's timeout; -1 if it names none.
+auto keepAliveSeconds(View value) -> std::int64_t;
+/// How long a connection may be kept idle after a reply with these headers; 0: not at all.
+auto keepFor(const Headers& h) -> Us;
+
+/// Which idle connections to servers are kept. Bookkeeping only: they are numbers here.
+struct Pool {
+    std::size_t perServer = 4, all = 512;
+    /// Keeps connection `id` to `key` until `till`; those given back must be closed.
+    auto put(const Str& key, std::int64_t id, Us till, Us now) -> std::vector<std::int64_t>;
+    /// The one to `key` that was used last; -1 if there is none.
+    auto take(const Str& key, Us now) -> std::int64_t;
+    /// Those whose time is over; they must be closed.
+    auto expire(Us now) -> std::vector<std::int64_t>;
+    auto size() const -> std::size_t { return n_; }
+
+  private:
+    struct Idle {
+        std::int64_t id;
+        Us till;
+    };
+    std::map<Str, std::vector<Idle>> m_;
+    std::size_t n_ = 0;
+};
+
+/// A planned stop within a grace: exchanges are taken for a while yet, for senders learn late
+/// that this node leaves; then they are refused, and at last what still runs is cut visibly.
+struct StopSchedule {
+    Us at = 0, grace = 0;  // at 0: no stop has begun
+    enum Step { Serve, Refuse, Cut, End };
+    /// `busy`: an exchange is under way or its reply not wholly written.
+    auto step(Us now, bool busy) const -> Step;
+    static constexpr Us FIRST = 1500 * MS;
+};
+
 struct CallError {
     Str why;
 };
-/// One blocking call of another process, for the command line.
+/// One call of another process.
+auto fetch(Str addr, Str method, Str path, Str body, Headers h, Us limit)
+    -> asio::awaitable<tl::expected<Res, CallError>>;
+/// The same, blocking; for the command line.
 auto call(const Str& addr, const Str& method, const Str& path, const Str& body, const Headers& h, Us limit)
     -> tl::expected<Res, CallError>;
 
 auto endpoint(const Str& addr) -> tcp::endpoint;
+/// No delay, and limits on how long a peer may be without a sign of life, since a machine
+/// without power says nothing: `unheard` while sent bytes are unacknowledged, else probes.
+auto socketSet(int fd, Us unheard) -> void;
 
 }  // namespace dt
--- a/src/store.cpp
+++ b/src/store.cpp
@@ -78,9 +78,12 @@
     };
     auto rc = mdb_env_create(&env_);
     if (rc) return no("create", rc);
-    mdb_env_set_mapsize(env_, 256u << 20);
-    // One thread opens, reads and later another writes, never two at once.
-    if (rc = mdb_env_open(env_, dir.c_str(), MDB_NOTLS, 0644); rc) return no("open", rc);
+    mdb_env_set_mapsize(env_, 32u << 20);
+    // One thread opens, reads and later another writes, never two at once: no locks are
+    // needed. The last page is written like the others and synced by write() itself, so that
+    // nothing rests on a descriptor that syncs by being written to (O_DSYNC).
+    if (rc = mdb_env_open(env_, dir.c_str(), MDB_NOTLS | MDB_NOLOCK | MDB_NOMETASYNC, 0644); rc)
+        return no("open", rc);
     MDB_txn* t = nullptr;
     if (rc = mdb_txn_begin(env_, nullptr, 0, &t); rc) return no("begin", rc);
     if (rc = mdb_dbi_open(t, nullptr, 0, &dbi_); rc) {
@@ -183,6 +186,7 @@
         put("meta", pack(m));
         if (!rc) rc = mdb_txn_commit(t);
         else mdb_txn_abort(t);
+        if (!rc) rc = mdb_env_sync(env_, 1);
     }
     if (rc) return tl::make_unexpected(StoreError{mdb_strerror(rc)});
     return {};
--- /dev/null
+++ b/tests/shell_test.cpp
@@ -0,0 +1,140 @@
+// The shell's pieces without sockets: keep-alive, the pool of kept connections, limits, the stop.
+#include "http.hpp"
+#include "test.hpp"
+
+namespace dt {
+
+TEST(Shell, keepAlive) {
+    CHECK_EQ(std::int64_t(5), keepAliveSeconds("timeout=5"));
+    CHECK_EQ(std::int64_t(15), keepAliveSeconds("max=100, Timeout=15"));
+    CHECK_EQ(std::int64_t(7), keepAliveSeconds("timeout = 7, max=2"));
+    CHECK_EQ(std::int64_t(0), keepAliveSeconds("timeout=0"));
+    CHECK_EQ(std::int64_t(-1), keepAliveSeconds(""));
+    CHECK_EQ(std::int64_t(-1), keepAliveSeconds("max=100"));
+    CHECK_EQ(std::int64_t(-1), keepAliveSeconds("timeout="));
+    CHECK_EQ(std::int64_t(-1), keepAliveSeconds("timeouts"));
+    CHECK(keepAliveSeconds("timeout=99999999999999999999") > 0);
+
+    CHECK_EQ(4 * SEC, keepFor({}));
+    CHECK_EQ(4 * SEC, keepFor({{"keep-alive", "timeout=60"}}));
+    CHECK_EQ(2 * SEC, keepFor({{"Keep-Alive", "timeout=3"}}));
+    CHECK_EQ(Us(0), keepFor({{"Keep-Alive", "timeout=1"}}));
+    CHECK_EQ(Us(0), keepFor({{"Keep-Alive", "timeout=0"}}));
+    CHECK_EQ(Us(0), keepFor({{"connection", "foo, Close"}, {"Keep-Alive", "timeout=60"}}));
+    CHECK_EQ(4 * SEC, keepFor({{"Connection", "keep-alive"}, {"Keep-Alive", "max=1"}}));
+}
+
+TEST(Shell, hopByHop) {
+    for (auto k : {"connection", "Keep-Alive", "transfer-encoding", "Content-Length", "TE", "Upgrade"})
+        CHECK(hopByHop(k, ""));
+    CHECK(!hopByHop("X-One", ""));
+    CHECK(hopByHop("X-One", "close, x-one"));
+    CHECK(!hopByHop("X-One", "x-oneness"));
+    CHECK(!hopByHop("Host", "close"));
+}
+
+TEST(Shell, pool) {
+    auto p = Pool();
+    auto none = std::vector<std::int64_t>();
+    CHECK_EQ(std::int64_t(-1), p.take("a", 0));
+    for (auto i = 1; i <= 4; i++) CHECK(p.put("a", i, 4 * SEC, i) == none);
+    // A fifth takes the place of the one idle for longest.
+    CHECK(p.put("a", 5, 4 * SEC, 5) == std::vector<std::int64_t>{1});
+    CHECK_EQ(std::size_t(4), p.size());
+    // The one used last is taken first, and only under its own server's name and address.
+    CHECK_EQ(std::int64_t(-1), p.take("b", 6));
+    CHECK_EQ(std::int64_t(5), p.take("a", 6));
+    CHECK_EQ(std::int64_t(4), p.take("a", 6));
+    // None whose time is over is taken; it is given back once, to be closed.
+    CHECK_EQ(std::int64_t(-1), p.take("a", 4 * SEC));
+    CHECK(p.expire(4 * SEC - 1) == none);
+    CHECK(p.expire(4 * SEC) == (std::vector<std::int64_t>{2, 3}));
+    CHECK_EQ(std::size_t(0), p.size());
+    // One with no time left is not kept.
+    CHECK(p.put("a", 9, 5, 5) == std::vector<std::int64_t>{9});
+    CHECK_EQ(std::size_t(0), p.size());
+}
+
+// Against a plain list: nothing is lost, taken twice, or taken after its time.
+TEST(Shell, poolFuzz) {
+    auto r = Rng{3};
+    auto p = Pool();
+    p.all = 9;
+    auto held = std::map<std::int64_t, std::pair<Str, Us>>();
+    auto id = std::int64_t(0);
+    auto taken = 0, closed = 0;
+    for (auto now = Us(1); now < 20000; now++) {
+        auto key = fmt::format("s{}", r.below(4));
+        auto back = std::vector<std::int64_t>();
+        if (r.chance(.5)) {
+            auto till = now + Us(r.below(40));
+            held[++id] = {key, till};
+            back = p.put(key, id, till, now);
+        } else if (auto t = p.take(key, now); t >= 0) {
+            CHECK(held.contains(t));
+            CHECK_EQ(key, held[t].first);
+            CHECK(held[t].second > now);
+            held.erase(t);
+            taken++;
+        }
+        if (r.chance(.3)) {
+            auto e = p.expire(now);
+            for (auto t : e) CHECK(held[t].second <= now);
+            back.insert(back.end(), e.begin(), e.end());
+        }
+        for (auto t : back) {
+            CHECK_EQ(std::size_t(1), held.erase(t));
+            closed++;
+        }
+        CHECK_EQ(held.size(), p.size());
+        CHECK(p.size() <= 9);
+        auto n = std::map<Str, int>();
+        for (auto& [i, h] : held) n[h.first]++;
+        for (auto& [k, c] : n) CHECK(c <= 4);
+    }
+    CHECK(taken > 1000);
+    CHECK(closed > 1000);
+}
+
+TEST(Shell, limits) {
+    auto l = [](const char* s) {
+        auto d = Doc();
+        CHECK(jsParse(s, d));
+        return limitsOf(d);
+    };
+    for (auto s : {"{}", "null", R"({"limits":{}})", R"({"limits":3})", R"({"limits":{"bodyBytes":0}})"}) {
+        CHECK_EQ(std::size_t(16 * 1024), l(s).headerBytes);
+        CHECK_EQ(std::size_t(8u << 20), l(s).bodyBytes);
+        CHECK_EQ(10 * SEC, l(s).headerRead);
+        CHECK_EQ(60 * SEC, l(s).idle);
+    }
+    auto x = l(R"({"limits":{"headerBytes":4096,"bodyBytes":100,"headerReadUs":3000000,"idleUs":15000000}})");
+    CHECK_EQ(std::size_t(4096), x.headerBytes);
+    CHECK_EQ(std::size_t(100), x.bodyBytes);
+    CHECK_EQ(3 * SEC, x.headerRead);
+    CHECK_EQ(15 * SEC, x.idle);
+}
+
+TEST(Shell, stopSchedule) {
+    auto s = StopSchedule();
+    CHECK(s.step(100 * SEC, false) == StopSchedule::Serve);
+    s = {10 * SEC, 8 * SEC};
+    auto at = [&](Us t, bool busy) { return s.step(10 * SEC + t, busy); };
+    // Served for the first 40% of the grace, then refused, cut at 85%.
+    CHECK(at(0, true) == StopSchedule::Serve);
+    CHECK(at(3200 * MS - 1, true) == StopSchedule::Serve);
+    CHECK(at(3200 * MS, true) == StopSchedule::Refuse);
+    CHECK(at(6800 * MS - 1, true) == StopSchedule::Refuse);
+    CHECK(at(6800 * MS, true) == StopSchedule::Cut);
+    // Idle, it ends; but not before the senders' lists can have caught up.
+    CHECK(at(1500 * MS - 1, false) == StopSchedule::Serve);
+    CHECK(at(1500 * MS, false) == StopSchedule::End);
+    CHECK(at(5 * SEC, false) == StopSchedule::End);
+    CHECK(at(7 * SEC, false) == StopSchedule::End);
+    // A grace shorter than that is kept to.
+    s.grace = SEC;
+    CHECK(at(850 * MS, true) == StopSchedule::Cut);
+    CHECK(at(850 * MS, false) == StopSchedule::End);
+}
+
+}  // namespace dt
