The edge behind another wire: a Dialect, hosts, weighted pools, load from replies

duneturn's edge spoke its own headers only. A Dialect now names what travels in them; the configuration's schema learns hosts, weighted pools, homes, repeatable mappings, pools, limits, slack and the operator's own document. Under the default Dialect nothing changes.

configCheck validates each mapping against one schema read once and builds schemas for each value only where something is wrong. An order's document is moved into the word, not copied.

--- a/src/edge.hpp
+++ b/src/edge.hpp
@@ -3,7 +3,9 @@
 // placement, the sends, and the migration of streams. Logic only; see EdgePort.
 #include <deque>
 #include <functional>
+#include <list>
 #include <memory>
+#include <unordered_map>
 
 #include "node.hpp"
 
@@ -16,30 +18,78 @@
 enum class Op { Pool, Listed, Emptied, Home, Weights, Untried, Fit, Ramp, Room, Near, Pick };
 struct Step {
     Op op;
-    Str s;
     double w = 0;
 };
 
+/// The names that a deployment's wire gives to what travels in headers; what is empty is not
+/// spoken. Urgency travels as 0 to 9, of which 0 goes first.
+struct Dialect {
+    Str exchange = "X-Exchange-Id", notExecuted = "X-Not-Executed", weights = "X-Weights",
+        lastEvent = "Last-Event-Id", target, deadlineMs, urgency, load, serverId, coldMs, parts, tokens,
+        model;
+    /// The sender names the exchange, and servers repeat that name. With it come the customs of
+    /// such a wire: a further try is another exchange, ids of events rise but not by one, and 503
+    /// is a promise that nothing ran.
+    bool senderNames = false;
+    bool passHeaders = false;  // a server's headers go to the sender unchanged, and nothing is added
+    bool doneEvent = true;     // a stream is whole with its last event, not with its HTTP message
+};
+
+/// What the configuration says of a pool's servers. 0: nothing.
+struct PoolRule {
+    int maxConns = 0, slots = 0, stride = 0;
+    Us coldUs = 0;
+    double coldRate = 0;  // exchanges a second that a cold one bears
+    std::int64_t kvTokens = 0;
+    bool engine = false;
+};
+struct ModelRule {
+    int limit = 0;
+    std::int64_t maxSequence = 4096;
+};
+
 struct Mapping {
-    Str name, method, path, pool, model, home;
-    std::vector<Str> spill;
+    Str name, host, method, path, pool, model;
+    std::vector<std::pair<Str, std::int64_t>> pools;  // by share, instead of the one pool
+    std::vector<Str> homes, spill;
     double spillAt = 0.9;
-    bool prefix = false, stream = false, resumable = false;
+    bool prefix = false, stream = false, resumable = false, repeatable = false;
     int maxTries = 1, urgency = 5, limit = 0;
     std::int64_t maxSequence = 4096;
     Us deadline = 30 * SEC, idle = 5 * SEC, queueUs = 2 * SEC;
+    Us aim = 0, gap = 0;    // to the reply's beginning, and between events; 0: nothing is said
+    bool idleSaid = false;  // idle is the configuration's, not ours
     std::size_t queue = 64, affinity = 0;
     std::vector<Step> prog;
+    /// May it run again though it may have run?
+    auto again() const -> bool { return stream ? resumable : repeatable; }
 };
 
 struct Rules {
     std::int64_t gen = 0, reign = 0;
     std::vector<Mapping> ms;
+    std::map<Str, PoolRule> pools;
+    std::map<Str, ModelRule> models;
+    double slack = -1;  // spare sends of each pool over all nodes; below 0: the cap counts instead
+    double coldOverrun = 1.5, coldSlack = 5;
     double share = 0.2;
     std::int64_t cap = 50;
     Us rampOver = 20 * SEC;
     int rampFirst = 2;
-    auto match(View method, View path) const -> int;
+    /// The mapping of an exchange, -1 if there is none: of its host, the longest path.
+    auto match(View method, View host, View path) const -> int;
+
+    struct Hash {
+        using is_transparent = void;
+        auto operator()(View s) const -> std::size_t { return hash64(s); }
+    };
+    template <class T>
+    using Table = std::unordered_map<Str, T, Hash, std::equal_to<>>;
+    struct Host {
+        Table<std::vector<int>> exact, prefix;
+        std::set<std::size_t, std::greater<>> lengths;  // of the prefixes
+    };
+    Table<Host> hosts;  // by name in lower case; "" for mappings of any host
 };
 /// The rules of a configuration that configCheck found sound.
 auto compile(const Val& config, std::int64_t gen) -> Rules;
@@ -62,6 +112,18 @@
     virtual auto reply(std::int64_t x, int status, const Headers& h, const Str& body) -> void = 0;
 };
 
+/// Which parts of prompts a server was sent lately, as far as its memory goes.
+struct Kept {
+    auto has(std::uint64_t part) const -> bool { return at.count(part) > 0; }
+    auto add(std::uint64_t part, std::int64_t tokens, std::int64_t most) -> void;
+    auto clear() -> void;
+
+  private:
+    std::list<std::pair<std::uint64_t, std::int64_t>> l;  // the newest first
+    std::unordered_map<std::uint64_t, decltype(l)::iterator> at;
+    std::int64_t total = 0;
+};
+
 struct Fitness {
     int inflight = 0, atSeen = 0;
     Us lostAt = 0;  // when a send to it was last refused or broke
@@ -69,6 +131,18 @@
     Us at = 0, seen = 0;
     double first = 0;  // smoothed time to the first byte
     double pace = 0;   // smoothed time from one event to the next
+    // What it said of itself in a reply, and how many of ours it had then.
+    int running = 0, waiting = 0, slots = 0, atLoad = 0;
+    Us loadAt = 0;
+    Us fullTill = 0;             // it said that it was full
+    Us avoidTill = 0;            // it did not connect, or broke
+    int strikes = 0;             // how often since it last replied
+    Us asked = 0, heard = 0;     // the first send since it was last heard
+    std::int64_t wrongGen = -1;  // the listing under which another server replied at its address
+    Us coldTill = 0, coldAt = 0;
+    double coldLeft = 1;  // the bucket of what a cold one may still be sent
+    double unread = 0;    // prompt tokens sent to it that it has not begun to answer
+    Kept kept;
 };
 
 /// Where an exchange stands; ExchangeMachine (edge.cpp) says what may follow what.
@@ -80,9 +154,14 @@
     Mapping m;
     Str method, path, body, exid, region;
     Headers h;
+    Str host, askedModel;
+    std::vector<std::pair<std::uint64_t, std::int64_t>> parts;  // of the prompt, with their tokens
+    std::int64_t tokensIn = 0, sharedTokens = 0, unread = 0;
+    int status = 200;  // of the first server's head, and its headers
+    Headers head;
     std::uint64_t key = 0;  // of the shared prompt's beginning
-    Us born = 0, due = 0, queuedTill = 0, lastByte = 0, sentAt = 0;
-    int tries = 0, moved = 0, a = 0, replans = 0;
+    Us born = 0, due = 0, queuedTill = 0, lastByte = 0, sentAt = 0, lookAt = 0;
+    int tries = 0, moved = 0, a = 0, replans = 0, refusals = 0;
     std::int64_t epoch = 0;  // of the rules that bind it
     bool fixed = false;      // it can no longer move, whatever the limit
     bool resumed = false;    // the sender lost its node and picks its stream up here
@@ -98,7 +177,7 @@
     std::int64_t seq = 0;     // prompt and events so far, in tokens as estimated here
     std::vector<Str> events;  // delivered, kept while the exchange may still move
     Str server, weights, sentWeights, queuedIn;
-    std::vector<Str> tried;
+    std::vector<Str> tried, denied;
     std::vector<Str> trace;
     std::unique_ptr<ExchangeMachine> pm;
     Exchange();
@@ -111,9 +190,9 @@
 };
 
 struct Edge {
-    Edge(Node& n, EdgePort& p, Counters& c, std::uint64_t seed);
+    Edge(Node& n, EdgePort& p, Counters& c, std::uint64_t seed, const Dialect& d = {});
 
-    /// A sender's request, whole. Gives its number.
+    /// A sender's request, whole, its Host among the headers. Gives its number.
     auto accept(const Str& method, const Str& path, const Headers& h, const Str& body, Us now)
         -> std::int64_t;
     /// The sender reads slower than the server writes; not the server's silence.
@@ -122,22 +201,32 @@
     auto gone(std::int64_t x, Us now) -> void;
     auto tick(Us now) -> void;
     auto drain() -> void { draining_ = true; }
+    /// From now on what is new is refused at once. A Dialect with senderNames serves on after
+    /// drain() until this is said.
+    auto refuseNew() -> void { refuseNew_ = true; }
     auto busy() const -> std::size_t { return xs_.size(); }
     /// Ends what still runs, visibly; the stop's limit is over.
     auto cutAll(Us now) -> void;
 
     // What becomes of send `a` of exchange `x`.
     auto maySend(std::int64_t x, int a, Us now) -> bool;
+    /// The headers of a send, complete but for what concerns length and connection.
+    auto outgoing(const Exchange& x, Us now) const -> Headers;
+    /// May its send go on a connection that was used before, where a loss says nothing?
+    auto reusable(const Exchange& x) const -> bool { return x.m.again(); }
     auto refused(std::int64_t x, int a, Us now) -> void;
     /// The reply's beginning; false if this reply is not for the exchange.
     auto upHead(std::int64_t x, int a, int status, const Headers& h, Us now) -> bool;
     auto upEvent(std::int64_t x, int a, const Event& e, Us now) -> void;
+    /// The HTTP message of a stream is whole.
+    auto upEnd(std::int64_t x, int a, Us now) -> void;
     auto upWhole(std::int64_t x, int a, int status, const Headers& h, const Str& body, Us now) -> void;
     auto upLost(std::int64_t x, int a, const Str& why, Us now) -> void;
 
     auto find(std::int64_t x) const -> const Exchange*;
     auto rules() const -> const Rules& { return ru_; }
     auto credit() const -> std::int64_t { return credit_; }
+    auto dialect() const -> const Dialect& { return di_; }
     /// Places taken in queues, and sends under way, as counted here; for judging leaks.
     auto queuedNow() const -> std::size_t;
     auto inflightNow() const -> int;
@@ -161,7 +250,38 @@
         std::int64_t seq, id;
         Str exid, text;
     };
+    struct Purse {
+        std::int64_t milli = 0;
+        bool open = false;
+    };
+    struct Cand {
+        const Str* n;
+        const Server* s;
+        double occ;  // of its slots, all that is known to be there
+    };
     auto rebuild() -> void;
+    auto adapt(Exchange& x, const Mapping& m) const -> Mapping;
+    auto described(const Str& pool) const -> const PoolRule*;
+    auto nodes() const -> std::size_t;
+    auto settled(Us now) const -> bool { return born_ && now - born_ >= 3 * SEC; }
+    auto readLoad(const Str& server, const Headers& h, Us now) -> void;
+    auto load(const Str& name, const Server& s, Us now) -> double;
+    auto slots(const Str& name, const Server& s, const PoolRule& pr) -> int;
+    auto cold(const Str& name, const Server& s, const PoolRule& pr, Us now) -> bool;
+    auto coldLets(const Str& name, const Server& s, const PoolRule& pr, Us now, bool take) -> bool;
+    auto unread(const Fitness& f, const Exchange& x, bool home) const -> std::int64_t;
+    auto predict(const Cand& c, const Exchange& x, const PoolRule& pr, bool home, Us now) -> double;
+    auto pick(const std::vector<Cand>& cs, const Exchange& x, const PoolRule& pr, Us now, Str& how)
+        -> std::size_t;
+    auto strike(const Str& server, Us now) -> void;
+    auto silent(const Fitness& f, Us now) const -> bool;
+    auto readDone(Exchange& x) -> void;
+    auto purse(const Str& pool, Us now) -> std::int64_t&;
+    auto pays(const Exchange& x, Us now) -> bool;
+    auto movable(Exchange& x, bool ran, Us now) -> bool;
+    auto denial(int status, const Headers& h) const -> bool;
+    auto forSender(const Headers& h) const -> Headers;
+    auto headOut(Exchange& x) -> void;
     auto beginning(View body) -> std::uint64_t;
     auto occupancy(const Str& server, const Server& s) -> double;
     auto rampShare(const Str& name, const Server& s, Us now) -> int;
@@ -171,7 +291,7 @@
     auto bar(const Exchange& x, bool ran, bool more) const -> Str;
     auto keeps(const Step& st, const Exchange& x, const Server& s) const -> bool;
     auto resume(Exchange& x, const Str& last, const Str& weights) -> Str;
-    auto count(Exchange& x) -> void;
+    auto count(Exchange& x, Us now) -> void;
     auto queue(Exchange& x, Us now) -> bool;
     auto unqueue(Exchange& x) -> void;
     auto start(Exchange& x, Us now) -> bool;
@@ -179,7 +299,7 @@
     auto slow(Exchange& x, Us gap, Us now) -> void;
     auto median(const Str& pool, double Fitness::*what) const -> double;
     auto unsent(const Exchange& x, Us now) const -> Str;
-    auto again(Exchange& x, bool ran, const Str& why, Us now) -> void;
+    auto again(Exchange& x, bool ran, const Str& why, Us now, bool arrived = true) -> void;
     auto fail(Exchange& x, int status, const Str& why, Us now) -> void;
     auto finish(Exchange& x, const Str& how, Us now) -> void;
     auto cost(const Exchange& x) const -> std::int64_t;
@@ -193,6 +313,7 @@
     EdgePort& po_;
     Counters& ct_;
     Rng rng_;
+    Dialect di_;
     Rules ru_;
     std::int64_t next_ = 0, credit_ = 0, decision_ = 0, epoch_ = 0;
     std::map<std::int64_t, Exchange> xs_;
@@ -202,8 +323,13 @@
     std::deque<std::uint64_t> begunOrder_;
     std::vector<Past> past_;
     std::map<Str, std::size_t> queued_;
-    bool draining_ = false, wanting_ = false;
-    Us wantAt_ = 0, grantAt_ = 0, emptiedAt_ = 0;
+    std::map<Str, Purse> purses_;  // by pool, where the configuration names a slack
+    std::map<Str, double> held_;   // by pool: smoothed time that an exchange takes a server
+    std::map<Str, Us> givenBack_;  // districts given back lately
+    std::set<Str> emptied_;
+    std::size_t roster_ = 0;
+    bool draining_ = false, wanting_ = false, refuseNew_ = false;
+    Us wantAt_ = 0, grantAt_ = 0, emptiedAt_ = 0, born_ = 0, listedAt_ = 0, prunedAt_ = 0;
 };
 
 }  // namespace dt
--- a/src/word.cpp
+++ b/src/word.cpp
@@ -1,56 +1,151 @@
 #include "word.hpp"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace dt {
 
-static constexpr auto CONFIG = R"({
- "type":"object","additionalProperties":false,"required":["mappings"],
- "properties":{
-  "name":{"type":"string"},
-  "models":{"type":"object","additionalProperties":{"type":"object","additionalProperties":false,"properties":{
-    "migrationLimit":{"type":"integer","minimum":0,"maximum":16},
-    "maxSequence":{"type":"integer","minimum":1,"maximum":1048576}}}},
-  "budget":{"type":"object","additionalProperties":false,"properties":{
-    "share":{"type":"number","minimum":0,"maximum":1},"cap":{"type":"integer","minimum":1,"maximum":10000}}},
-  "ramp":{"type":"object","additionalProperties":false,"properties":{
-    "overUs":{"type":"integer","minimum":0,"maximum":600000000},"first":{"type":"integer","minimum":1,"maximum":1000}}},
-  "mappings":{"type":"array","maxItems":200,"items":{"type":"object","additionalProperties":false,
-   "required":["name","path","pool"],
+// Of one mapping; "pool" or "pools", as configCheck sees to.
+static constexpr auto MAPPING = R"({"type":"object","additionalProperties":false,
+   "required":["name","path"],
    "properties":{
     "name":{"type":"string","pattern":"^[A-Za-z0-9_.-]+$"},
-    "method":{"type":"string","enum":["GET","POST","PUT"]},
+    "host":{"type":"string","minLength":1,"maxLength":255},
+    "method":{"type":"string","enum":["GET","POST","PUT","*"]},
     "path":{"type":"string","pattern":"^/"},
-    "pool":{"type":"string","minLength":1},"model":{"type":"string"},
-    "stream":{"type":"boolean"},"Resumable":{"type":"boolean"},
-    "MaxTries":{"type":"integer","minimum":1,"maximum":16},
+    "pool":{"type":"string","minLength":1},
+    "pools":{"type":"array","minItems":1,"maxItems":64,"items":{"type":"object","additionalProperties":false,
+      "required":["pool","share"],"properties":{
+      "pool":{"type":"string","minLength":1},"share":{"type":"integer","minimum":0,"maximum":1000000000}}}},
+    "model":{"type":"string"},
+    "stream":{"type":"boolean"},"Resumable":{"type":"boolean"},"repeatable":{"type":"boolean"},
+    "MaxTries":{"type":"integer","minimum":1,"maximum":64},
     "home":{"type":"string","minLength":1},
+    "homes":{"type":"array","maxItems":64,"items":{"type":"string","minLength":1}},
     "spill":{"type":"array","items":{"type":"string"}},
     "spillAt":{"type":"number","minimum":0,"maximum":10},
     "urgency":{"type":"integer","minimum":0,"maximum":9},
     "deadlineUs":{"type":"integer","minimum":1000,"maximum":3600000000},
+    "aimUs":{"type":"integer","minimum":0,"maximum":3600000000},
+    "gapUs":{"type":"integer","minimum":0,"maximum":3600000000},
     "idleUs":{"type":"integer","minimum":1000,"maximum":3600000000},
     "queue":{"type":"integer","minimum":0,"maximum":100000},
     "queueUs":{"type":"integer","minimum":0,"maximum":600000000},
     "affinity":{"type":"integer","minimum":0,"maximum":1048576}
-   }}}}})";
+   }})";
+// All but the mappings, which are checked one by one.
+static constexpr auto CONFIG = R"({
+ "type":"object","additionalProperties":false,"required":["mappings"],
+ "properties":{
+  "name":{"type":"string"},
+  "models":{"type":"object","additionalProperties":{"type":"object","additionalProperties":false,"properties":{
+    "migrationLimit":{"type":"integer","minimum":0,"maximum":16},
+    "maxSequence":{"type":"integer","minimum":1,"maximum":1048576}}}},
+  "budget":{"type":"object","additionalProperties":false,"properties":{
+    "share":{"type":"number","minimum":0,"maximum":1},"cap":{"type":"integer","minimum":1,"maximum":10000},
+    "slack":{"type":"number","minimum":0,"maximum":1000000}}},
+  "ramp":{"type":"object","additionalProperties":false,"properties":{
+    "overUs":{"type":"integer","minimum":0,"maximum":600000000},"first":{"type":"integer","minimum":1,"maximum":1000}}},
+  "pools":{"type":"object","additionalProperties":{"type":"object","additionalProperties":false,"properties":{
+    "maxConns":{"type":"integer","minimum":0,"maximum":1000000},
+    "coldUs":{"type":"integer","minimum":0,"maximum":3600000000},
+    "coldRate":{"type":"number","minimum":0,"maximum":1000000000},
+    "slots":{"type":"integer","minimum":0,"maximum":1000000},
+    "kvTokens":{"type":"integer","minimum":0,"maximum":1000000000000},
+    "stride":{"type":"integer","minimum":0,"maximum":1000000},
+    "engine":{"type":"boolean"}}}},
+  "limits":{"type":"object","additionalProperties":false,"properties":{
+    "headerBytes":{"type":"integer","minimum":0},"bodyBytes":{"type":"integer","minimum":0},
+    "headerReadUs":{"type":"integer","minimum":0},"idleUs":{"type":"integer","minimum":0}}},
+  "cold":{"type":"object","additionalProperties":false,"properties":{
+    "overrun":{"type":"number","minimum":0,"maximum":1000},"slack":{"type":"number","minimum":0,"maximum":1000000}}},
+  "origin":{"type":"object","additionalProperties":false,"properties":{
+    "number":{"type":"integer"},"text":{"type":"string"}}},
+  "mappings":{"type":"array","maxItems":20000}}})";
+
+// Whether `v` is sound, by a schema read once: to name every fault jsCheck builds a schema for
+// each value, which a configuration of thousands of mappings has no time for.
+static auto sound(const Val& v, const rapidjson::SchemaDocument& sd) -> bool {
+    auto sv = rapidjson::SchemaValidator(sd);
+    return v.Accept(sv);
+}
+static auto schemaOf(const char* s) -> rapidjson::SchemaDocument {
+    auto d = Doc();
+    jsParse(s, d);
+    return rapidjson::SchemaDocument(d);
+}
+static auto lower(Str s) -> Str {
+    for (auto& c : s) c = char(std::tolower(c));
+    return s;
+}
 
 auto configCheck(const Val& v) -> std::vector<Fault> {
-    auto f = jsCheck(v, CONFIG);
-    if (!f.empty() || !v.IsObject()) return f;
-    auto names = std::vector<Str>();
+    static const auto one = schemaOf(MAPPING);
+    constexpr auto MANY = std::size_t(32);  // of a document that breaks more no more are named
+    auto f = std::vector<Fault>();
+    if (!v.IsObject() || !v.HasMember("mappings") || !v["mappings"].IsArray()) return jsCheck(v, CONFIG);
+    auto rest = Doc();
+    rest.SetObject();
+    auto& al = rest.GetAllocator();
+    for (auto& m : v.GetObject())  // long texts and lists are looked at where they stand
+        if (View n = m.name.GetString(); n != "mappings" && n != "origin")
+            rest.AddMember(Val(m.name, al), Val(m.value, al), al);
+    auto none = Val(rapidjson::kArrayType);
     auto& ms = v["mappings"];
-    for (auto i = 0u; i < ms.Size(); i++) {
+    rest.AddMember("mappings", none, al);
+    f = jsCheck(rest, CONFIG);
+    if (f.size() > MANY) f.resize(MANY);
+    if (ms.Size() > 20000) f.push_back({"/mappings", "breaks \"maxItems\": 20000"});
+    if (v.HasMember("origin")) {
+        auto& o = v["origin"];
+        if (!o.IsObject()) f.push_back({"/origin", "breaks \"type\": \"object\""});
+        else
+            for (auto& m : o.GetObject()) {
+                auto n = Str(m.name.GetString(), m.name.GetStringLength());
+                if (n == "number" ? !m.value.IsInt64() : n == "text" && !m.value.IsString())
+                    f.push_back({"/origin/" + n, "breaks \"type\""});
+                else if (n != "number" && n != "text") f.push_back({"/origin/" + n, "unknown field"});
+            }
+    }
+    for (auto i = 0u; i < ms.Size() && f.size() < MANY; i++)
+        if (!sound(ms[i], one))
+            for (auto& x : jsCheck(ms[i], MAPPING))
+                f.push_back({fmt::format("/mappings/{}{}", i, x.path == "/" ? "" : x.path), x.why});
+    if (!f.empty()) return f;
+    auto names = std::unordered_set<Str>(), places = std::unordered_set<Str>();
+    auto at = [](unsigned i, View k) { return fmt::format("/mappings/{}/{}", i, k); };
+    auto known = [&](const Str& p) { return !v.HasMember("pools") || v["pools"].HasMember(p); };
+    for (auto i = 0u; i < ms.Size() && f.size() < MANY; i++) {
         auto n = jsStr(ms[i], "name"), m = jsStr(ms[i], "model");
-        if (std::find(names.begin(), names.end(), n) != names.end())
-            f.push_back({fmt::format("/mappings/{}/name", i), "named twice: " + n});
-        names.push_back(n);
+        if (!names.insert(n).second) f.push_back({at(i, "name"), "named twice: " + n});
         if (!m.empty() && !(v.HasMember("models") && v["models"].HasMember(m)))
-            f.push_back({fmt::format("/mappings/{}/model", i), "no such model under /models: " + m});
+            f.push_back({at(i, "model"), "no such model under /models: " + m});
         if (jsBool(ms[i], "Resumable") && !jsBool(ms[i], "stream"))
-            f.push_back({fmt::format("/mappings/{}/Resumable", i), "only a stream can be resumed"});
-        if (ms[i].HasMember("home") && ms[i].HasMember("spill"))
-            f.push_back({fmt::format("/mappings/{}/spill", i), "a mapping with a home never spills"});
+            f.push_back({at(i, "Resumable"), "only a stream can be resumed"});
+        if (jsBool(ms[i], "repeatable") && jsBool(ms[i], "stream"))
+            f.push_back({at(i, "repeatable"), "of a stream it is Resumable that says so"});
+        if ((ms[i].HasMember("home") || ms[i].HasMember("homes")) && ms[i].HasMember("spill"))
+            f.push_back({at(i, "spill"), "a mapping with a home never spills"});
+        if (ms[i].HasMember("home") && ms[i].HasMember("homes"))
+            f.push_back({at(i, "homes"), "home or homes, not both"});
+        if (ms[i].HasMember("pool") == ms[i].HasMember("pools"))
+            f.push_back({at(i, "pool"), ms[i].HasMember("pool") ? "pool or pools, not both" : "missing"});
+        if (ms[i].HasMember("pool") && !known(jsStr(ms[i], "pool")))
+            f.push_back({at(i, "pool"), "no such pool under /pools: " + jsStr(ms[i], "pool")});
+        if (ms[i].HasMember("pools")) {
+            auto sum = std::int64_t(0);
+            for (auto& p : ms[i]["pools"].GetArray()) {
+                sum += jsInt(p, "share");
+                if (!known(jsStr(p, "pool")))
+                    f.push_back({at(i, "pools"), "no such pool under /pools: " + jsStr(p, "pool")});
+            }
+            if (sum <= 0) f.push_back({at(i, "pools"), "the shares sum to 0"});
+        }
+        if (auto h = lower(jsStr(ms[i], "host")); !h.empty()) {
+            auto p = jsStr(ms[i], "path");
+            if (!places.insert(h + " " + jsStr(ms[i], "method", "POST") + " " + p).second)
+                f.push_back({at(i, "path"), "another mapping has this host and path"});
+        }
     }
     return f;
 }
@@ -157,7 +252,7 @@
 }
 
 // One change, on a word whose caller raises the generation if it was accepted.
-auto Word::change(const Val& o, bool planned) -> Outcome {
+auto Word::change(Val& o, bool planned) -> Outcome {
     auto& al = d.GetAllocator();
     auto op = jsStr(o, "op");
     auto no = [](int st, Str why) { return Outcome{st, bodyOf({{"error", jsQuote(why)}})}; };
@@ -166,7 +261,7 @@
             return {409,
                 bodyOf({{"error", jsQuote("based on a generation that is not the newest")},
                     {"configGeneration", fmt::to_string(configGen())}})};
-        d["config"].CopyFrom(o["config"], al);
+        d["config"] = o["config"];
         d["configGeneration"].SetInt64(configGen() + 1);
         return {200, bodyOf({{"configGeneration", fmt::to_string(configGen())}})};
     }
@@ -199,8 +294,7 @@
                 m["state"] = "cancelled";
                 return {200, bodyOf({{"move", jsQuote(jsStr(o, "move"))}})};
             }
-            auto mv = Doc();
-            mv.CopyFrom(m["move"], mv.GetAllocator());
+            auto mv = Val(m["move"], al);
             auto r = change(mv, true);
             m["state"] = Val(rapidjson::StringRef(r.status == 200 ? "done" : "failed"));
             m.AddMember("fired", Val(jsInt(o, "at")), al);
@@ -222,7 +316,15 @@
 }
 
 auto Word::apply(const Str& order) -> Outcome {
-    auto o = Doc();
+    auto r = lay(order);
+    // A new document, since an allocator never gives back what was overwritten.
+    auto n = Doc();
+    n.CopyFrom(d, n.GetAllocator());
+    d.Swap(n);
+    return r;
+}
+auto Word::lay(const Str& order) -> Outcome {
+    auto o = Doc(&d.GetAllocator());  // so that what an order brings is moved, not copied
     if (!jsParse(order, o) || !o.IsObject()) return {422, bodyOf({{"error", jsQuote("not an order")}})};
     auto key = jsStr(o, "key");
     if (auto r = outcome(key); !key.empty() && r.status) return r;
@@ -233,8 +335,6 @@
         r.body.insert(r.body.size() - 1, fmt::format(",\"generation\":{}", gen));
     }
     if (!key.empty()) keep(key, r);
-    auto c = *this;  // what was overwritten is given back
-    *this = c;
     return r;
 }
 
@@ -277,14 +377,14 @@
             f.push_back({"/base", "wants the generation that this is based on"});
         if (!b.HasMember(k)) f.push_back({Str("/") + k, "missing"});
         if (f.empty()) {
-            auto c = Doc();
+            auto c = Val();
             if (op == "merge") {
-                c.CopyFrom(w.config(), c.GetAllocator());
-                jsMerge(c, b["patch"], c.GetAllocator());
-            } else c.CopyFrom(b["config"], c.GetAllocator());
+                c.CopyFrom(w.config(), al);
+                jsMerge(c, b["patch"], al);
+            } else c.CopyFrom(b["config"], al);
             for (auto& x : configCheck(c)) f.push_back({"/config" + (x.path == "/" ? "" : x.path), x.why});
             o.AddMember("base", jsInt(b, "base"), al);  // a Val would be moved out of b
-            o.AddMember("config", Val(c, al), al);
+            o.AddMember("config", c, al);
             // A patch laid on another generation than it names must lose, not win by chance.
             if (op == "merge" && jsInt(b, "base") != w.configGen() && f.empty())
                 return tl::make_unexpected(Outcome{409,
--- a/src/word.hpp
+++ b/src/word.hpp
@@ -42,7 +42,8 @@
   private:
     auto keep(const Str& key, const Outcome& o) -> void;
     auto rise() -> void;
-    auto change(const Val& o, bool planned) -> Outcome;
+    auto change(Val& o, bool planned) -> Outcome;
+    auto lay(const Str& order) -> Outcome;
 };
 
 auto bodyOf(std::initializer_list<std::pair<const char*, Str>> kv) -> Str;
