--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include "ctl.hpp"
 #include "daemon.hpp"
 #include "fakes.hpp"
+#include "platform.hpp"
 #include "simulate.hpp"
 
 DEFINE_string(settings, "", "settings file (JSON); flags are laid over it");
@@ -69,6 +70,8 @@
 
   edge           serves senders on this machine
   core           the same, and keeps the operator's word on this machine's disk
+  platform       an edge, or a core where there is a disk, by the platform's own settings file,
+                 which the variable DUNETURN_CONFIG names (docs/platform.md)
   ctl            the operators' command line (duneturn ctl --help)
   compare A B    where the beliefs of two nodes differ (operator addresses)
   simulate       a day of the whole fleet over virtual time, from a seed
@@ -76,6 +79,7 @@
 
 edge, core:  --settings FILE, or --node --district --region --peer --sender --operator
              --seeds [--data --roster --seats]; --check, --drain_us N, --workers N
+platform:    --check
 simulate:    --example DIR --seed N --runs N --duration_us --scale --faults all|KIND,…
              --per_minute --broken VARIANT --place random|least --trace --json
 fake-server: --listen --name --weights --slots --token_us --prefill_us --plain_us --cold --log
@@ -157,6 +161,7 @@
     auto args = std::vector<Str>(argv + 1, argv + argc);
     if (role == "edge") return daemonMain(false);
     if (role == "core") return daemonMain(true);
+    if (role == "platform") return platform::run(FLAGS_check);
     if (role == "ctl")
         return ctlRun({FLAGS_node, FLAGS_key, FLAGS_base, FLAGS_json, FLAGS_once, FLAGS_here}, args);
     if (role == "compare") {
