--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -203,7 +203,7 @@
     auto send(std::int64_t x, int a, const Str& server, const Str& addr) -> void override {
         auto u = std::make_shared<Up>();
         u->key = server + " " + addr;
-        if (reuse_ && edge->reusable(x))
+        if (auto e = edge->find(x); reuse_ && e && edge->reusable(*e))
             for (auto id = pool_.take(u->key, bootNow()); id >= 0; id = pool_.take(u->key, bootNow())) {
                 auto s = std::move(kept_[id]);
                 kept_.erase(id);
@@ -439,7 +439,7 @@
         noBody = e->method == "HEAD";
         head = e->method + " " + e->path + " HTTP/1.1\r\n";
         auto host = false;
-        for (auto& [k, v] : edge->outgoing(x, bootNow())) {
+        for (auto& [k, v] : edge->outgoing(*e, bootNow())) {
             if (hopByHop(k, "")) continue;
             host = host || beast::iequals(k, "Host");
             head += k + ": " + v + "\r\n";
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -51,7 +51,6 @@
     wire::Listing l;
     Us told = 0;   // when the platform last told of it, as far as known here
     Us first = 0;  // when this life of it was first heard of
-    Us coldTill = 0;
     wire::Load d;
     Us seen = 0;  // when the load was read; 0 if never
     int misses = 0;
