A send on a kept connection begins behind the lock that it was ordered under

Cause: co_spawn dispatches inline on a strand of the running thread; upRun of a kept connection takes the lock at once, which its caller held. One worker: the process stood still. Found by a stub of three nodes and two servers, seen in every thread's stack.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -426,7 +426,7 @@
             co_return;
         }
         socketSet(s.socket().native_handle(), UNHEARD_SERVER);
-    }
+    } else co_await asio::post(u->ex, use_awaitable);  // begun with the lock held, perhaps on this very strand
     auto head = Str(), body = Str();
     auto noBody = false;
     {
