--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -145,7 +145,7 @@
 struct Up {
     asio::any_io_executor ex;
     std::shared_ptr<beast::tcp_stream> s;
-    Str key;            // of the server's kept connections
+    Str server, key;    // key: of the server's kept connections
     bool kept = false;  // its connection has carried another exchange before
     std::atomic<bool> dropped = false;
 };
@@ -202,6 +202,7 @@
     // ---- EdgePort
     auto send(std::int64_t x, int a, const Str& server, const Str& addr) -> void override {
         auto u = std::make_shared<Up>();
+        u->server = server;
         u->key = server + " " + addr;
         if (auto e = edge->find(x); reuse_ && e && edge->reusable(*e))
             for (auto id = pool_.take(u->key, bootNow()); id >= 0; id = pool_.take(u->key, bootNow())) {
@@ -304,6 +305,7 @@
 
     auto run() -> int;
     auto bind() -> Str;
+    auto coreStart(const DiskState& s) -> void;
     auto diskLoop() -> void;
     auto bookWrite(const Str& s) -> void;
     auto upRun(std::int64_t x, int a, Str addr, std::shared_ptr<Up> u) -> awaitable<void>;
@@ -343,6 +345,8 @@
     std::int64_t keptId_ = 0;
     std::set<std::shared_ptr<beast::tcp_stream>> idle_;  // senders' connections between requests
     Limits lim_;
+    std::map<Str, std::int64_t> conns_;  // the most that a pool's servers accept
+    std::size_t nodes_ = 1;
     std::int64_t limReign_ = -1, limGen_ = -1;
     std::vector<std::unique_ptr<Listen>> listens_;
     std::unique_ptr<asio::signal_set> hup_;
@@ -351,10 +355,36 @@
     DiskGate gate;
     StopSchedule stop_;
     bool reuse_ = false, refusing_ = false, cut_ = false, stopDisk_ = false;
+    bool started_ = false;               // the disk is open; the disk's thread's own once it runs
     std::atomic<bool> closing_ = false;  // replies say that their connection ends
 };
 
+// Makes this a core by what its disk holds.
+auto Daemon::coreStart(const DiskState& s) -> void {
+    auto ps = std::vector<Str>();
+    if (auto t = fileRead(op.st.data + "/peers")) {
+        auto in = std::stringstream(*t);
+        for (auto a = Str(); std::getline(in, a);)
+            if (addrParse(a)) ps.push_back(a);
+    }
+    auto rd = std::random_device();
+    auto seed = (std::uint64_t(rd()) << 32) ^ rd();
+    auto l = std::lock_guard(mu_);
+    if (store.setAside) ct_.add("store_set_aside_total");
+    node->hints(ps);
+    node->startCore(s, fmt::format("{:016x}", hash64(op.st.node, seed)), bootNow());
+    started_ = true;
+}
+
 auto Daemon::diskLoop() -> void {
+    // A disk that was in trouble at the start: served without it meanwhile.
+    while (!started_) {
+        {
+            auto l = std::unique_lock(dmu_);
+            if (dcv_.wait_for(l, std::chrono::seconds(1), [&] { return stopDisk_; })) return;
+        }
+        if (auto r = store.open(op.st.data)) coreStart(*r);
+    }
     while (true) {
         auto w = DiskWrite();
         {
@@ -371,7 +401,12 @@
             w = std::move(dq_.front());
             dq_.pop_front();
         }
-        auto r = gate.takes(w) ? store.write(w) : tl::make_unexpected(StoreError{"behind a failed write"});
+        auto r = tl::expected<void, StoreError>();
+        if (gate.takes(w)) r = store.write(w);
+        else {
+            store.owe(w);
+            r = tl::make_unexpected(StoreError{"behind a failed write"});
+        }
         if (!r) {
             logf("disk: {}", r.error().why);
             gate.fail(w);
@@ -404,7 +439,10 @@
     auto now = bootNow();
     auto id = ++keptId_;
     kept_[id] = u.s;
-    for (auto i : pool_.put(u.key, id, now + life, now)) kept_.erase(i);
+    auto most = std::size_t(4);
+    if (auto i = node->servers().find(u.server); i != node->servers().end())
+        if (auto c = conns_.find(i->second.l.pool); c != conns_.end()) most = idleShare(c->second, nodes_);
+    for (auto i : pool_.put(u.key, id, now + life, now, most)) kept_.erase(i);
 }
 
 auto Daemon::upRun(std::int64_t x, int a, Str addr, std::shared_ptr<Up> u) -> awaitable<void> {
@@ -1085,12 +1123,17 @@
             edge->tick(now);
             if (auto& w = node->word(); w.gen != limGen_ || w.reign != limReign_) {
                 lim_ = limitsOf(w.config());
+                conns_.clear();
+                if (w.config().IsObject() && w.config().HasMember("pools") && w.config()["pools"].IsObject())
+                    for (auto& p : w.config()["pools"].GetObject())
+                        if (p.value.IsObject()) conns_[p.name.GetString()] = jsInt(p.value, "maxConns");
                 limGen_ = w.gen;
                 limReign_ = w.reign;
             }
             if (now - swept > 200 * MS) {
                 swept = now;
                 ct_.set("sessions", sessions_);
+                nodes_ = node->aliveNodes(now).size();
                 for (auto id : pool_.expire(now)) kept_.erase(id);
                 auto l2 = std::lock_guard(qmu_);
                 for (auto i = outs_.begin(); i != outs_.end();)
@@ -1190,21 +1233,11 @@
     edge = std::make_unique<Edge>(*node, *this, ct_, seed ^ 0x5a5a, ad ? ad->dialect : Dialect());
     auto dt = std::thread();
     if (op.core) {
-        auto r = store.open(op.st.data);
-        if (!r) {
+        if (auto r = store.open(op.st.data)) coreStart(*r);
+        else if (!ad || r.error().newer) {
             fmt::print(stderr, "duneturn: data {}: {}\n", op.st.data, r.error().why);
             return 1;
-        }
-        if (store.setAside) ct_.add("store_set_aside_total");
-        auto ps = std::vector<Str>();
-        if (auto t = fileRead(op.st.data + "/peers")) {
-            auto in = std::stringstream(*t);
-            for (auto a = Str(); std::getline(in, a);)
-                if (addrParse(a)) ps.push_back(a);
-        }
-        auto l = std::lock_guard(mu_);
-        node->hints(ps);
-        node->startCore(*r, fmt::format("{:016x}", hash64(op.st.node, seed)), bootNow());
+        } else logf("disk: {}: {}; tried again each second", op.st.data, r.error().why);
     }
     if (auto why = bind(); !why.empty()) {
         fmt::print(stderr, "duneturn: cannot listen: {}\n", why);
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -107,11 +107,18 @@
     return t;
 }
 
-auto Pool::put(const Str& key, std::int64_t id, Us till, Us now) -> std::vector<std::int64_t> {
+auto idleShare(std::int64_t maxConns, std::size_t nodes) -> std::size_t {
+    if (maxConns <= 0) return 4;
+    return std::min<std::size_t>(4, std::size_t(maxConns) / (4 * std::max<std::size_t>(1, nodes)));
+}
+
+auto Pool::put(const Str& key, std::int64_t id, Us till, Us now, std::size_t most)
+    -> std::vector<std::int64_t> {
     auto out = std::vector<std::int64_t>();
-    if (till <= now || !perServer) return {id};
+    most = std::min(most, perServer);
+    if (till <= now || !most) return {id};
     auto& v = m_[key];
-    while (v.size() >= perServer) {
+    while (v.size() >= most) {
         out.push_back(v.front().id);
         v.erase(v.begin());
         n_--;
--- a/src/http.hpp
+++ b/src/http.hpp
@@ -43,8 +43,10 @@
 /// Which idle connections to servers are kept. Bookkeeping only: they are numbers here.
 struct Pool {
     std::size_t perServer = 4, all = 512;
-    /// Keeps connection `id` to `key` until `till`; those given back must be closed.
-    auto put(const Str& key, std::int64_t id, Us till, Us now) -> std::vector<std::int64_t>;
+    /// Keeps connection `id` to `key` until `till`, of at most `most` there; those given back
+    /// must be closed.
+    auto put(const Str& key, std::int64_t id, Us till, Us now, std::size_t most = 4)
+        -> std::vector<std::int64_t>;
     /// The one to `key` that was used last; -1 if there is none.
     auto take(const Str& key, Us now) -> std::int64_t;
     /// Those whose time is over; they must be closed.
@@ -60,6 +62,10 @@
     std::size_t n_ = 0;
 };
 
+/// How many idle connections one of `nodes` nodes keeps to a server that accepts `maxConns`
+/// from all callers together (0: any number): all nodes' idle ones leave most of them free.
+auto idleShare(std::int64_t maxConns, std::size_t nodes) -> std::size_t;
+
 /// A planned stop within a grace: exchanges are taken for a while yet, for senders learn late
 /// that this node leaves; then they are refused, and at last what still runs is cut visibly.
 struct StopSchedule {
--- a/src/store.cpp
+++ b/src/store.cpp
@@ -1,5 +1,6 @@
 #include "store.hpp"
 
+#include <fcntl.h>
 #include <lmdb.h>
 #include <signal.h>
 #include <sys/resource.h>
@@ -59,23 +60,38 @@
     env_ = nullptr;
 }
 
+// A name that was changed stays changed once its folder is synced.
+static auto folderSync(const Str& dir) -> void {
+    auto d = ::open(dir.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (d < 0) return;
+    ::fsync(d);
+    ::close(d);
+}
+
 auto Store::open(const Str& dir) -> tl::expected<DiskState, StoreError> {
     ::mkdir(dir.c_str(), 0755);
+    dir_ = dir;
     auto r = tryOpen(dir);
     if (r || r.error().newer) return r;
     close();
+    if (!r.error().damaged) return r;
     auto bad = fmt::format("{}/data.mdb.bad-{}", dir, wallNow());
     if (::rename((dir + "/data.mdb").c_str(), bad.c_str()) != 0) return r;
-    ::unlink((dir + "/lock.mdb").c_str());
+    folderSync(dir);
     logf("disk: the store is damaged ({}) and was set aside as {}", r.error().why, bad);
     setAside = true;
-    return tryOpen(dir);
+    r = tryOpen(dir);
+    if (!r) close();
+    return r;
 }
 
 auto Store::tryOpen(const Str& dir) -> tl::expected<DiskState, StoreError> {
+    // A disk that is full or refuses is not a damaged store.
     auto no = [](Str what, int rc) {
-        return tl::make_unexpected(StoreError{fmt::format("{}: {}", what, mdb_strerror(rc))});
+        auto damaged = rc < 0 && rc != MDB_MAP_FULL && rc != MDB_PANIC;
+        return tl::make_unexpected(StoreError{fmt::format("{}: {}", what, mdb_strerror(rc)), false, damaged});
     };
+    close();
     auto rc = mdb_env_create(&env_);
     if (rc) return no("create", rc);
     mdb_env_set_mapsize(env_, 32u << 20);
@@ -132,12 +148,37 @@
     for (auto i = std::size_t(0); bad.empty() && i < s.log.size(); i++)
         if (s.log[i].idx != s.snapIdx + 1 + std::int64_t(i)) bad = "an entry is missing";
     if (bad.empty() && s.snapIdx > 0 && s.snapDoc.empty()) bad = "the snapshot is missing";
-    if (!bad.empty()) return tl::make_unexpected(StoreError{bad, newer});
-    snapIdx_ = s.snapIdx;
+    if (!bad.empty()) return tl::make_unexpected(StoreError{bad, newer, !newer});
     return s;
 }
 
+auto Store::owe(const DiskWrite& w) -> void {
+    oweReset_ = oweReset_ || w.reset;
+    if (w.reset || w.snap) oweSnap_ = w.snap, oweDoc_ = w.doc;
+}
+
 auto Store::write(const DiskWrite& w) -> tl::expected<void, StoreError> {
+    if (!env_) {
+        auto r = tryOpen(dir_);
+        if (!r) {
+            close();
+            owe(w);
+            return tl::make_unexpected(r.error());
+        }
+    }
+    auto own = w.reset || w.snap;
+    if (auto rc = commit(w, w.reset || oweReset_, own ? w.snap : oweSnap_, own ? w.doc : oweDoc_); rc) {
+        // LMDB denies everything after some failures, until it is opened anew.
+        close();
+        owe(w);
+        return tl::make_unexpected(StoreError{mdb_strerror(rc)});
+    }
+    oweReset_ = oweSnap_ = false;
+    oweDoc_.clear();
+    return {};
+}
+
+auto Store::commit(const DiskWrite& w, bool reset, bool snap, const Str& doc) -> int {
     MDB_txn* t = nullptr;
     auto rc = mdb_txn_begin(env_, nullptr, 0, &t);
     auto put = [&](const Str& k, const Str& raw) {
@@ -164,14 +205,11 @@
     };
     constexpr auto LAST = INT64_MAX;
     if (!rc) {
-        if (w.reset) {
-            rc = mdb_drop(t, dbi_, 0);
-            snapIdx_ = 0;
-        }
+        if (reset) rc = mdb_drop(t, dbi_, 0);
         if (w.cut >= 0) dropTo(w.cut, LAST);
         for (auto& e : w.add) put(entryKey(e.idx), pack(e));
-        if (w.snap) {
-            put("snap", w.doc);
+        if (snap) {
+            put("snap", doc);
             dropTo(0, w.meta.snapIdx);
         }
         auto m = wire::Meta();
@@ -188,8 +226,7 @@
         else mdb_txn_abort(t);
         if (!rc) rc = mdb_env_sync(env_, 1);
     }
-    if (rc) return tl::make_unexpected(StoreError{mdb_strerror(rc)});
-    return {};
+    return rc;
 }
 
 }  // namespace dt
--- a/tests/shell_test.cpp
+++ b/tests/shell_test.cpp
@@ -55,6 +55,21 @@
     CHECK_EQ(std::size_t(0), p.size());
 }
 
+// All nodes' idle connections leave most of a server's places free.
+TEST(Shell, idleShare) {
+    CHECK_EQ(std::size_t(4), idleShare(0, 12));
+    CHECK_EQ(std::size_t(4), idleShare(390, 12));
+    CHECK_EQ(std::size_t(2), idleShare(130, 12));
+    CHECK_EQ(std::size_t(0), idleShare(130, 100));
+    for (auto n = 1; n < 300; n++)
+        for (auto c = 1; c < 500; c += 7)
+            CHECK(4 * idleShare(c, std::size_t(n)) * std::size_t(n) <= std::size_t(c));
+    auto p = Pool();
+    CHECK(p.put("a", 1, SEC, 0, 0) == std::vector<std::int64_t>{1});
+    CHECK(p.put("a", 2, SEC, 0, 1).empty());
+    CHECK(p.put("a", 3, SEC, 0, 1) == std::vector<std::int64_t>{2});
+}
+
 // Against a plain list: nothing is lost, taken twice, or taken after its time.
 TEST(Shell, poolFuzz) {
     auto r = Rng{3};
