Tests stand in tests/, and the test program links what the program links

They stood at the ends of the sources under DT_TEST, which compiled twelve sources a second time, differently from the program's.

The number of an order in the log and the packing of the store's records, private to their sources, are written down a second time in the tests.

Renamed: Folder is TempDir, Rig NodeFixture (node_fixture.hpp, for edge_test and node_test), Lab and Box Cluster and Replica.

--- a/src/store.hpp
+++ b/src/store.hpp
@@ -24,9 +24,6 @@
     auto write(const DiskWrite& w) -> tl::expected<void, StoreError>;
     /// Whether a damaged store was set aside by open().
     bool setAside = false;
-#ifdef DT_TEST
-    auto rawForTest(const Str& k, const Str& v) -> void;
-#endif
 
   private:
     auto tryOpen(const Str& dir) -> tl::expected<DiskState, StoreError>;
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,244 @@
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+
+#include "core.hpp"
+#include "test.hpp"
+
+namespace dt {
+namespace {
+
+constexpr auto ORDER = 1;  // the kind of an order in the log, as on the wire
+
+// Voters on a lawless network: messages are lost, doubled and late, disks sync when they
+// like, power goes and takes with it what was not synced, disks are replaced.
+struct Cluster : VoterPort {
+    struct Replica : VoterPort {
+        Cluster& l;
+        int i;
+        Counters ct;
+        DiskState held;
+        std::deque<DiskWrite> under;
+        DiskGate gate;
+        std::unique_ptr<Voter> v;
+        Str disk;
+        Us wake = 0;
+        Replica(Cluster& x, int k) : l(x), i(k) {}
+        auto voterTell(const Str& d, wire::Envelope& e) -> void override { l.post(d, e); }
+        auto voterDisk(const DiskWrite& w) -> void override { under.push_back(w); }
+        auto voterWord(const Word& w, const Str& key, const Outcome& o) -> void override {
+            l.applied(*this, w);
+            // The one who proposed it hears of it: from here on it is acknowledged.
+            if (!key.empty() && o.status == 200 && v && v->leads()) l.acked.push_back(key);
+        }
+        auto voterRead(std::int64_t id, bool ok) -> void override {
+            if (!ok) return;
+            auto& r = l.reads[id];
+            if (v->word().gen < r)
+                l.bad = fmt::format("a readback gave generation {} after {} was known", v->word().gen, r);
+        }
+        auto start() -> void {
+            gate = {};
+            v = std::make_unique<Voter>(*this, ct, l.r.next());
+            v->broken = l.broken;
+            v->start(held, disk, l.t);
+            disk = v->disk();
+        }
+    };
+    auto voterTell(const Str&, wire::Envelope&) -> void override {}
+    auto voterDisk(const DiskWrite&) -> void override {}
+    auto voterWord(const Word&, const Str&, const Outcome&) -> void override {}
+    auto voterRead(std::int64_t, bool) -> void override {}
+
+    Rng r;
+    Voter::Broken broken;
+    Us t = 0;
+    std::vector<std::unique_ptr<Replica>> bs;
+    std::multimap<Us, std::pair<Str, wire::Envelope>> net;
+    std::map<std::int64_t, Str> texts;  // generation -> the word
+    std::map<std::pair<std::int64_t, std::int64_t>, Str> leads;
+    std::vector<Str> acked;
+    std::map<std::int64_t, std::int64_t> reads;
+    std::int64_t top = 0;
+    Str bad;
+    int n = 0, disks = 0;
+    double loss = 0.05;
+    bool calm = false;
+
+    explicit Cluster(std::uint64_t s, int k) : r{s}, n(k) {
+        for (auto i = 0; i < k; i++) {
+            bs.push_back(std::make_unique<Replica>(*this, i));
+            bs[std::size_t(i)]->disk = fmt::format("d{}", disks++);
+        }
+    }
+    auto post(const Str& d, const wire::Envelope& e) -> void {
+        if (r.chance(loss)) return;
+        net.emplace(t + Us(r.below(r.chance(.1) ? 400 * MS : 20 * MS)), std::pair(d, e));
+        if (r.chance(.03)) net.emplace(t + Us(r.below(800 * MS)), std::pair(d, e));
+    }
+    auto applied(Replica&, const Word& w) -> void {
+        if (w.gen == 0) return;
+        auto& x = texts[w.gen];
+        if (x.empty()) x = w.text();
+        else if (x != w.text())
+            bad = fmt::format("two words of generation {}: {} {}", w.gen, getenv("DT_SHOW") ? x : "",
+                getenv("DT_SHOW") ? w.text() : "");
+        top = std::max(top, w.gen);
+    }
+    auto run(int steps) -> void {
+        for (auto& b : bs) b->start();
+        auto vs = std::vector<Seat>();
+        for (auto& b : bs) vs.push_back({fmt::format("s{}", b->i), b->disk});
+        auto w = Word();
+        w.found({"n"}, vs);
+        bs[0]->v->found(w, 1, t);
+        auto key = 0;
+        auto nextFault = SEC;
+        for (auto s = 0; s < steps && bad.empty(); s++) {
+            t += 5 * MS;
+            while (!net.empty() && net.begin()->first <= t) {
+                auto [d, e] = net.begin()->second;
+                net.erase(net.begin());
+                for (auto& b : bs)
+                    if (b->v && b->disk == d && t >= b->wake) b->v->hear(e, t);
+            }
+            for (auto& b : bs) {
+                if (!b->v) {
+                    if (t >= b->wake) b->start();
+                    continue;
+                }
+                if (t < b->wake) continue;
+                while (!b->under.empty() && r.chance(.2)) {
+                    auto x = b->under.front();
+                    b->under.pop_front();
+                    auto ok = b->gate.takes(x) && (calm || !r.chance(.002));
+                    if (ok) diskApply(b->held, x);
+                    else b->gate.fail(x);
+                    b->v->diskDone(x.seq, ok, t);
+                }
+                auto un = std::vector<Str>();
+                for (auto& o : bs)
+                    if (o->v && o->v->blank()) un.push_back(o->disk);
+                b->v->untold(un);
+                auto of = std::vector<std::pair<Str, Str>>();
+                for (auto& o : bs)
+                    if (o->v) of.emplace_back(fmt::format("s{}", o->i), o->disk);
+                b->v->offer(of);
+                b->v->tick(t);
+                if (b->v->leads()) {
+                    auto& l = leads[{b->v->reign(), b->v->term()}];
+                    if (l.empty()) l = b->disk;
+                    if (l != b->disk) bad = fmt::format("two leaders in term {}", b->v->term());
+                    if (r.chance(.05)) {
+                        auto k = fmt::format("k{}", key++);
+                        if (auto o = orderPrepare(b->v->head(), "empty", k,
+                                fmt::format("{{\"district\":\"z{}\"}}", r.below(5)), t))
+                            b->v->propose(ORDER, *o, t);
+                    }
+                    if (r.chance(.03)) {
+                        reads[key] = top;
+                        b->v->read(key++, t);
+                    }
+                    if (!calm && r.chance(.002)) b->v->handOver(t);
+                }
+            }
+            if (t >= nextFault) {
+                nextFault = t + Us(r.below(1500 * MS));
+                auto& b = *bs[r.below(bs.size())];
+                auto k = r.below(10);
+                if (k < 4) {  // power
+                    b.v.reset();
+                    b.under.clear();
+                    b.wake = t + Us(r.below(800 * MS));
+                } else if (k < 6) b.wake = t + Us(r.below(2 * SEC));  // frozen
+                else if (k < 7) loss = r.chance(.5) ? 0.4 : 0.05;
+                else if (k < 8 && s < steps * 3 / 4) {
+                    // A disk is replaced, where all the others are sound voters.
+                    auto good = 0;
+                    for (auto& o : bs) {
+                        auto ok = o->v && !o->v->blank() && o->v->voters().size() == bs.size();
+                        for (auto& x : bs)
+                            ok = ok
+                                && std::any_of(o->v->voters().begin(), o->v->voters().end(),
+                                    [&](auto& q) { return q.disk == x->disk; });
+                        good += ok;
+                    }
+                    if (good != n) continue;
+                    b.v.reset();
+                    b.under.clear();
+                    b.held = {};
+                    b.disk = fmt::format("d{}", disks++);
+                    b.wake = t + Us(r.below(500 * MS));
+                }
+            }
+            if (s == steps - 1200)
+                loss = 0, nextFault = INT64_MAX, calm = true;  // calm: they must agree again
+        }
+        if (!bad.empty()) return;
+        auto lead = 0;
+        for (auto& b : bs) lead += b->v && b->v->leads();
+        if (lead != 1) {
+            bad = fmt::format("{} leaders after six calm seconds:", lead);
+            for (auto& b : bs) {
+                bad += fmt::format(" [{} role {} term {} last {} commit {} bad {} under {} voters", b->disk,
+                    b->v ? int(b->v->role()) : -1, b->v ? b->v->term() : 0, b->v ? b->v->last() : 0,
+                    b->v ? b->v->commit() : 0, b->v && b->v->diskBad(), b->under.size());
+                if (b->v)
+                    for (auto& q : b->v->voters()) bad += " " + q.disk;
+                bad += "]";
+            }
+        }
+        for (auto& b : bs)
+            for (auto k = acked.size() > 100 ? acked.end() - 100 : acked.begin(); k != acked.end();
+                 ++k)  // a word keeps the last 256
+                if (b->v && b->v->leads() && b->v->word().outcome(*k).status != 200)
+                    bad = "acknowledged and gone: " + *k;
+    }
+};
+
+auto lab(Voter::Broken b, int from, int n, int size) -> std::pair<int, Str> {
+    logMute(true);
+    auto bad = 0;
+    auto why = Str();
+    auto acks = std::size_t(0);
+    for (auto s = from; s < from + n; s++) {
+        auto l = Cluster(std::uint64_t(s), size);
+        l.broken = b;
+        l.run(6000);
+        acks += l.acked.size();
+        if (!l.bad.empty()) {
+            bad++;
+            if (why.empty()) why = fmt::format("seed {}: {}", s, l.bad);
+            if (getenv("DT_SHOW")) fmt::print("seed {}: {}\n", s, l.bad);
+        }
+    }
+    logMute(false);
+    CHECK(acks > 0 || bad > 0);
+    return {bad, why};
+}
+
+}  // namespace
+
+TEST(Voter, fuzzThree) {
+    auto [bad, why] = lab({}, 1, 60, 3);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(why, 0, bad);
+}
+TEST(Voter, fuzzFive) {
+    auto [bad, why] = lab({}, 1000, 30, 5);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(why, 0, bad);
+}
+// The oracle must see each deliberate fault.
+TEST(Voter, brokenIsSeen) {
+    for (auto k = 0; k < 3; k++) {
+        auto b = Voter::Broken();
+        b.ackBeforeSync = k == 0;
+        b.voteTwice = k == 1;
+        b.noQuorum = k == 2;
+        auto n = lab(b, 1, k == 1 ? 60 : k == 0 ? 50 : 20, k == 1 ? 5 : 3).first;
+        if (getenv("DT_SHOW")) fmt::print("variant {}: {} seeds\n", k, n);
+        CHECK(n > 0);
+    }
+}
+
+}  // namespace dt
--- /dev/null
+++ b/tests/node_test.cpp
@@ -0,0 +1,63 @@
+#include "node_fixture.hpp"
+#include "test.hpp"
+
+namespace dt {
+
+// A clock that was set back between two lives, and a freeze, as one node sees them.
+TEST(Node, clocksAndFreezes) {
+    auto r = NodeFixture();
+    auto e = wire::Envelope();
+    e.wire = WIRE;
+    e.node = "b";
+    auto b = wire::Beat();
+    b.rows.resize(2);
+    b.rows[0].node = "b", b.rows[0].boot = 5, b.rows[0].beat = 1, b.rows[0].peer = "127.0.0.1:2";
+    b.rows[1].node = "a", b.rows[1].boot = 900, b.rows[1].beat = 44, b.rows[1].peer = "127.0.0.1:1";
+    e.__set_beat(b);
+    r.n->hear(e, r.now);
+    CHECK(r.n->me().boot > 900);
+    // The load that comes after a freeze was written before it.
+    r.list({{"x", "near", "z", "p", "w"}});
+    auto seen = r.n->servers().at("x").seen;
+    r.now += 5 * SEC;
+    e.beat.rows.resize(1);
+    e.beat.rows[0].beat = 2;
+    e.beat.loads.resize(1);
+    e.beat.loads[0].server = "x";
+    r.n->hear(e, r.now);
+    CHECK_EQ(seen, r.n->servers().at("x").seen);
+    CHECK_EQ(std::int64_t(1), r.ct.get("woke_total"));
+    CHECK(!r.n->fresh(r.now) || r.n->word().roster().size() == 1);
+}
+
+// What the platform says late undoes nothing newer; what it says later is believed.
+TEST(Node, listingsByNumber) {
+    auto r = NodeFixture();
+    auto l = [](std::int64_t rev, const Str& st) {
+        return fmt::format(
+            R"({{"revision":{},"servers":[{{"name":"x","address":"127.0.0.1:9","region":"r","district":"d","pool":"p","state":"{}"}}]}})",
+            rev, st);
+    };
+    r.n->list(1, l(10, "up"), r.now);
+    CHECK_EQ(200, r.outs[1].status);
+    r.n->mark(2, "x", 12, r.now);
+    r.run(SEC);
+    CHECK_EQ(200, r.outs[2].status);
+    r.n->list(3, l(11, "up"), r.now);
+    CHECK_EQ(409, r.outs[3].status);
+    CHECK_EQ(int(LEAVING), int(r.n->servers().at("x").l.state));
+    r.n->mark(4, "x", 9, r.now);
+    CHECK_EQ(409, r.outs[4].status);
+    r.n->list(5, l(13, "up"), r.now);
+    CHECK_EQ(200, r.outs[5].status);
+    CHECK_EQ(int(UP), int(r.n->servers().at("x").l.state));
+}
+
+// The last resort is denied here: one node that stands is its own majority.
+TEST(Node, rescueDenied) {
+    auto r = NodeFixture();
+    CHECK_EQ(409, r.n->rescue(r.n->word().reign, r.n->word().gen, r.now).status);
+    CHECK_EQ(409, r.n->rescue(r.n->word().reign, r.n->word().gen + 1, r.now).status);
+}
+
+}  // namespace dt
--- a/src/test.hpp
+++ b/tests/test.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// Only for the test build (DT_TEST): CppUnit, with one short way to register a test.
+// CppUnit, with one short way to register a test.
 #include <cppunit/TestCaller.h>
 #include <cppunit/TestFixture.h>
 #include <cppunit/TestSuite.h>
