--- a/src/edge.hpp
+++ b/src/edge.hpp
@@ -141,6 +141,7 @@
     std::int64_t wrongGen = -1;  // the listing under which another server replied at its address
     Us coldTill = 0, coldAt = 0;
     double coldLeft = 1;  // the bucket of what a cold one may still be sent
+    double tokens = 0;    // that ours hold of its memory, beside what they share
     double unread = 0;    // prompt tokens sent to it that it has not begun to answer
     Kept kept;
 };
@@ -156,7 +157,12 @@
     Headers h;
     Str host, askedModel;
     std::vector<std::pair<std::uint64_t, std::int64_t>> parts;  // of the prompt, with their tokens
-    std::int64_t tokensIn = 0, sharedTokens = 0, unread = 0;
+    std::int64_t tokensIn = 0, tokensOut = 0, sharedTokens = 0, unread = 0;
+    /// The tokens that only this exchange needs.
+    auto own() const -> std::int64_t {
+        return std::max<std::int64_t>(0, tokensIn - sharedTokens) + tokensOut;
+    }
+    int headOf = 0;    // the send whose head was read
     int status = 200;  // of the first server's head, and its headers
     Headers head;
     std::uint64_t key = 0;  // of the shared prompt's beginning
@@ -250,6 +256,9 @@
         std::int64_t seq, id;
         Str exid, text;
     };
+    struct Seen {
+        double held = 0, tokens = 0;  // smoothed: how long an exchange takes a server, and its own tokens
+    };
     struct Purse {
         std::int64_t milli = 0;
         bool open = false;
@@ -270,6 +279,7 @@
     auto cold(const Str& name, const Server& s, const PoolRule& pr, Us now) -> bool;
     auto coldLets(const Str& name, const Server& s, const PoolRule& pr, Us now, bool take) -> bool;
     auto unread(const Fitness& f, const Exchange& x, bool home) const -> std::int64_t;
+    auto fits(const Cand& c, const Exchange& x, const PoolRule& pr, Us now) -> bool;
     auto predict(const Cand& c, const Exchange& x, const PoolRule& pr, bool home, Us now) -> double;
     auto pick(const std::vector<Cand>& cs, const Exchange& x, const PoolRule& pr, Us now, Str& how)
         -> std::size_t;
@@ -278,6 +288,7 @@
     auto readDone(Exchange& x) -> void;
     auto purse(const Str& pool, Us now) -> std::int64_t&;
     auto pays(const Exchange& x, Us now) -> bool;
+    auto hopes(const Exchange& x) const -> bool;
     auto movable(Exchange& x, bool ran, Us now) -> bool;
     auto denial(int status, const Headers& h) const -> bool;
     auto forSender(const Headers& h) const -> Headers;
@@ -324,12 +335,12 @@
     std::vector<Past> past_;
     std::map<Str, std::size_t> queued_;
     std::map<Str, Purse> purses_;  // by pool, where the configuration names a slack
-    std::map<Str, double> held_;   // by pool: smoothed time that an exchange takes a server
+    std::map<Str, Seen> seen_;     // by pool
     std::map<Str, Us> givenBack_;  // districts given back lately
     std::set<Str> emptied_;
-    std::size_t roster_ = 0;
+    std::size_t roster_ = 0, peak_ = 0;
     bool draining_ = false, wanting_ = false, refuseNew_ = false;
-    Us wantAt_ = 0, grantAt_ = 0, emptiedAt_ = 0, born_ = 0, listedAt_ = 0, prunedAt_ = 0;
+    Us wantAt_ = 0, grantAt_ = 0, emptiedAt_ = 0, born_ = 0, listedAt_ = 0, prunedAt_ = 0, peakAt_ = 0;
 };
 
 }  // namespace dt
