Silence under another wire: what may move moves while it may come in time

A server that goes dark says nothing; a stream that may move waited two aims. It now moves after 0.7 of its aim, or 0.6 of the longest pause, unless the whole pool is that slow. What has not left yet (the connection hangs) goes elsewhere after 0.4 s whatever it is: nothing can have run.

--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -416,6 +416,7 @@
 // ---- what is known of the servers of a pool that the configuration describes, or of any pool
 // where the servers tell their load in their replies
 
+constexpr Us CONNECT = 400 * MS;     // how long a server may take to accept a connection
 constexpr double READ = 0.05;        // prompt tokens read in a microsecond, roughly
 constexpr Us FAR = 100 * MS;         // what another region adds to a reply, roughly
 constexpr Us BELIEVED = 2 * SEC;     // a load older than this is believed less and less
@@ -609,7 +610,8 @@
     f.strikes++;
 }
 auto Edge::silent(const Fitness& f, Us now) const -> bool {
-    return f.inflight > 0 && f.asked > f.heard && double(now - f.asked) > std::max(double(SEC), 4 * f.first);
+    return f.inflight > 0 && f.asked > f.heard
+        && double(now - f.asked) > std::max(double(400 * MS), 5 * f.first);
 }
 auto Edge::readDone(Exchange& x) -> void {
     if (!x.unread) return;
@@ -1125,8 +1127,9 @@
 }
 
 // Could it go on at another server, now?
-auto Edge::movable(Exchange& x, bool ran, Us now) -> bool {
-    if (!bind(x) || now >= x.due || !bar(x, ran || x.ranBefore, true).empty() || !pays(x, now)) return false;
+auto Edge::movable(Exchange& x, bool ran, Us now, bool arrived) -> bool {
+    if (!bind(x) || now >= x.due || !bar(x, ran || x.ranBefore, true).empty()) return false;
+    if (arrived && !pays(x, now)) return false;
     auto n = x.trace.size();
     x.tried.push_back(x.server);
     auto to = place(x, now, true);
@@ -1495,6 +1498,19 @@
     }
 }
 
+// How long a silence is borne by what may move. Where the configuration does not say, it is moved
+// while it may still come in time, unless the whole pool is that slow.
+auto Edge::patience(const Exchange& x) const -> Us {
+    if (x.m.idleSaid) return x.m.idle;
+    if (x.phase() == Phase::Delivering) {
+        if (!x.m.gap) return x.m.idle;
+        return Us(std::max({0.6 * double(x.m.gap), 8 * median(x.m.pool, &Fitness::pace), double(150 * MS)}));
+    }
+    if (!x.m.aim) return x.m.idle;
+    auto usual = std::max({0.7 * double(x.m.aim), 4 * median(x.m.pool, &Fitness::first), double(200 * MS)});
+    return Us(usual + 2 * double(x.unread) / READ);
+}
+
 auto Edge::tick(Us now) -> void {
     if (!born_) born_ = now;
     if (!listedAt_ && !n_.servers().empty()) listedAt_ = now;
@@ -1519,16 +1535,20 @@
         if (di_.senderNames) {
             // Silence ends nothing here; it moves what may move, and only where it can.
             if (x.phase() != Phase::Sending && x.phase() != Phase::Delivering) continue;
-            auto idle = x.m.idleSaid                     ? x.m.idle
-                : x.phase() == Phase::Sending && x.m.aim ? std::max(SEC, 2 * x.m.aim)
-                : x.m.gap                                ? std::max(SEC, 4 * x.m.gap)
-                                                         : x.m.idle;
-            if (now - x.lastByte < idle || !x.m.again() || now < x.lookAt) continue;
-            x.lookAt = now + 200 * MS;
-            if (!movable(x, x.wrote, now)) continue;
+            if (now - x.lastByte < 150 * MS || now < x.lookAt) continue;
+            // Nothing of it has left yet: any may go elsewhere, as if it had been refused.
+            if (!x.wrote) {
+                if (now - x.sentAt < CONNECT) continue;
+                x.lookAt = now + 50 * MS;
+                if (x.refusals < 3 && movable(x, false, now, false)) refused(id, x.a, now);
+                continue;
+            }
+            if (!x.m.again() || now - x.lastByte < patience(x)) continue;
+            x.lookAt = now + 50 * MS;
+            if (!movable(x, true, now)) continue;
             hurt(x.server, 0.4, now);
             ct_.add("stalls_total");
-            again(x, x.wrote, fmt::format("silent for {} us", now - x.lastByte), now);
+            again(x, true, fmt::format("silent for {} us", now - x.lastByte), now);
             continue;
         }
         if ((x.phase() == Phase::Sending || x.phase() == Phase::Delivering) && now - x.lastByte >= x.m.idle) {
--- a/src/edge.hpp
+++ b/src/edge.hpp
@@ -289,7 +289,8 @@
     auto purse(const Str& pool, Us now) -> std::int64_t&;
     auto pays(const Exchange& x, Us now) -> bool;
     auto hopes(const Exchange& x) const -> bool;
-    auto movable(Exchange& x, bool ran, Us now) -> bool;
+    auto patience(const Exchange& x) const -> Us;
+    auto movable(Exchange& x, bool ran, Us now, bool arrived = true) -> bool;
     auto denial(int status, const Headers& h) const -> bool;
     auto forSender(const Headers& h) const -> Headers;
     auto headOut(Exchange& x) -> void;
--- a/tests/edge_platform_test.cpp
+++ b/tests/edge_platform_test.cpp
@@ -495,8 +495,15 @@
         CHECK(r.go(y));
         r.ok(y);
     }
-    // Listed again later it is asked again, one exchange at a time at first.
-    r.run(3 * SEC);
+    r.listed.clear();
+    r.run(6 * SEC);  // not by time alone
+    for (auto i = 0; i < 20; i++) {
+        auto y = r.ask("/a/x");
+        CHECK(r.last().server != bad);
+        CHECK(r.go(y));
+        r.ok(y);
+    }
+    // Listed again it is asked again.
     r.list({{"x"}, {"y"}});
     auto seen = 0;
     for (auto i = 0; i < 40; i++) {
@@ -717,6 +724,48 @@
     }
 }
 
+// Where the configuration says nothing of silence: while it may still come in time. What has not
+// left yet goes elsewhere in any case, for nothing can have run.
+TEST(EdgePlatform, darkServers) {
+    auto r = Rig();
+    CHECK_EQ(200,
+        r.config(one(R"(,"stream":true,"Resumable":true,"MaxTries":2,"aimUs":1000000,"gapUs":400000},
+      {"name":"e","path":"/e","pool":"p","MaxTries":1,"aimUs":1000000)",
+            R"(,"models":{"m":{"migrationLimit":1}})")));
+    r.list({{"x"}, {"y"}});
+    r.run(2 * SEC);
+    auto e = r.ask("/e");
+    auto was = r.last();
+    r.run(380 * MS);
+    CHECK_EQ(was.a, r.last().a);
+    r.run(60 * MS);
+    CHECK_EQ(e, r.last().x);
+    CHECK(r.last().server != was.server);
+    CHECK(!r.e->maySend(e, was.a, r.now));
+    CHECK(r.go(e));
+    CHECK_EQ(std::int64_t(0), r.ct.get("extra_sends_total"));
+    auto n = r.sends.size();
+    r.run(3 * SEC);
+    CHECK_EQ(n, r.sends.size());  // now it may run
+    CHECK_EQ(0, r.fate(e));
+    r.ok(e);
+    r.run(5 * SEC);
+    auto x = r.ask("/a/x", {{"X-Model", "m"}});
+    CHECK(r.go(x));
+    r.run(760 * MS);
+    CHECK_EQ(n + 2, r.sends.size());
+    CHECK(r.go(x));
+    auto y = r.ask("/a/x", {{"X-Model", "m"}});
+    CHECK(r.go(y));
+    CHECK(r.e->upHead(y, r.last().a, 200, r.echo(y), r.now));
+    r.event(y, "1");
+    r.run(220 * MS);
+    CHECK_EQ(n + 3, r.sends.size());
+    r.run(100 * MS);
+    CHECK_EQ(n + 4, r.sends.size());
+    CHECK_EQ(y, r.last().x);
+}
+
 // No room: a short wait, then the reply, at once and with its promise. More urgent work first.
 TEST(EdgePlatform, queues) {
     auto r = Rig();
