--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -568,6 +568,32 @@
     return t / std::max(0.05, fitOf(*c.n, now));
 }
 
+// What is bound to one region claims that region's servers.
+auto Edge::claim(const Exchange& x) -> void {
+    auto& k = seen_[x.m.pool];
+    k.all = k.all * 0.995 + 1;
+    for (auto& [r, n] : k.bound) n *= 0.995;
+    if (x.m.homes.size() == 1) k.bound[x.m.homes[0]] += 1;
+}
+// Reading a long prompt holds up all that runs beside it. Where many exchanges can only go to the
+// near region and clearly fewer to another, long prompts that may go anywhere are read there. Every
+// node sees much the same kinds, so that all choose the same region. Empty: the near one will do.
+auto Edge::unclaimed(const std::vector<Cand>& cs, const Exchange& x) -> Str {
+    if (x.sharedTokens < LONG || x.m.homes.size() == 1) return "";
+    auto n = std::map<Str, int>();
+    for (auto& c : cs) n[c.s->l.region]++;
+    auto& k = seen_[x.m.pool];
+    auto claims = [&](const Str& r) {
+        auto i = k.bound.find(r);
+        return i == k.bound.end() ? 0.0 : i->second / n[r];
+    };
+    if (!n.count(x.region) || n.size() < 2) return "";
+    auto b = x.region;
+    for (auto& [r, m] : n)
+        if (claims(r) < claims(b)) b = r;
+    return claims(x.region) * n[x.region] > 0.2 * k.all && claims(b) < 0.5 * claims(x.region) ? b : "";
+}
+
 // The server for an exchange, of those that may take it. A long shared beginning goes where it
 // was read before: rendezvous hashing names the same two servers at every node. All else goes to
 // the better of two drawn at random, since many nodes that know the same would all run to one.
@@ -711,6 +737,13 @@
                 auto occ = [](auto& c) { return c.occ; };
                 auto first = [&](auto& c) { return predict(c, x, *pr, false, now); };
                 if (cs.empty() || best(false, occ) > 1e17 || best(true, occ) > 1e17) break;
+                if (auto r = unclaimed(cs, x); !r.empty() && r != x.region) {
+                    auto there = [&](auto& c) { return c.s->l.region == r && c.occ < 0.6; };
+                    if (std::any_of(cs.begin(), cs.end(), there)) {
+                        keep("unclaimed " + r, there);
+                        break;
+                    }
+                }
                 auto far = best(true, occ) > best(false, occ) + 0.4;
                 if (!far && x.m.aim)
                     far = best(true, first) > double(x.m.aim) && best(true, first) > best(false, first);
@@ -867,6 +900,7 @@
             x.region, x.due - now, x.left(), x.m.maxTries - x.tries,
             x.resumed ? fmt::format(", resumed after event {} of weights {}", x.last, x.weights) : ""));
     ct_.add("accepted_total");
+    if (di_.senderNames) claim(x);
     // Nobody goes ahead of those who wait for the same servers with no less urgency.
     if (queued_[x.m.pool] == 0 && start(x, now)) return id;
     if (x.phase() == Phase::Finished) return id;
--- a/src/edge.hpp
+++ b/src/edge.hpp
@@ -258,6 +258,8 @@
     };
     struct Seen {
         double held = 0, tokens = 0;  // smoothed: how long an exchange takes a server, and its own tokens
+        double all = 0;               // exchanges of late, the older the less
+        std::map<Str, double> bound;  // those of them that may only go to one region, by that region
     };
     struct Purse {
         std::int64_t milli = 0;
@@ -280,6 +282,8 @@
     auto coldLets(const Str& name, const Server& s, const PoolRule& pr, Us now, bool take) -> bool;
     auto unread(const Fitness& f, const Exchange& x, bool home) const -> std::int64_t;
     auto fits(const Cand& c, const Exchange& x, const PoolRule& pr, Us now) -> bool;
+    auto claim(const Exchange& x) -> void;
+    auto unclaimed(const std::vector<Cand>& cs, const Exchange& x) -> Str;
     auto predict(const Cand& c, const Exchange& x, const PoolRule& pr, bool home, Us now) -> double;
     auto pick(const std::vector<Cand>& cs, const Exchange& x, const PoolRule& pr, Us now, Str& how)
         -> std::size_t;
