--- a/tests/edge_platform_test.cpp
+++ b/tests/edge_platform_test.cpp
@@ -122,12 +122,17 @@
             o += (o.empty() ? "" : ",")
                 + bodyOf({{"name", jsQuote(s.name)}, {"address", "\"127.0.0.1:9\""},
                     {"region", jsQuote(s.region)}, {"district", jsQuote(s.district)},
-                    {"pool", jsQuote(s.pool)}, {"slots", fmt::to_string(s.slots)}});
+                    {"pool", jsQuote(s.pool)}, {"slots", fmt::to_string(s.slots)},
+                    {"coldUs", fmt::to_string(std::max<Us>(0, colds[s.name] - now))}});
         n->list(1, fmt::format("{{\"revision\":{},\"servers\":[{}]}}", ++rev, o), now);
         run(wait);
     }
     /// A server's cold time, as a listing would tell it.
-    auto chill(const Str& s, Us till) -> void { const_cast<Server&>(n->servers().at(s)).coldTill = till; }
+    auto chill(const Str& s, Us till) -> void {
+        colds[s] = till;
+        list(std::vector<S>(listed), 0);
+    }
+    std::map<Str, Us> colds;  // until when; told by every listing
     auto ask(const Str& path, Headers h = {}, const Str& host = "h.example") -> std::int64_t {
         h.emplace_back("Host", host);
         h.emplace_back("X-Try", fmt::format("t{}", ++names));
