--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -382,7 +382,9 @@
         if (x.headSent && !x.counting) return "its events cannot be counted, so they cannot be joined";
     }
     auto moved = x.moved + more;
-    if (!x.m.model.empty() && moved > 0 && (moved > x.m.limit || (more && x.fixed)))
+    // A stream of no model has the limit that is the default: none.
+    auto limited = !x.m.model.empty() || (di_.senderNames && x.m.stream);
+    if (limited && moved > 0 && (moved > x.m.limit || (more && x.fixed)))
         return "no migration is left";
     if (x.tries >= x.m.maxTries) return "MaxTries is reached";
     return "";
