--- a/src/node.cpp
+++ b/src/node.cpp
@@ -1540,13 +1540,17 @@
 
 auto Node::duty(Us now) const -> bool {
     if (vt_ && vt_->leads()) return now - vt_->quorumAt() < SEC;
-    if (word_.gen == 0 || !leaderNode(now).empty() || now - leaderAt_ < 2 * SEC) return false;
+    // After a start of all at once there is no leader yet, and nobody has a listing: the root of what is
+    // known by then doesn't wait for the election.
+    auto wait = led1_ ? 2 * SEC : 200 * MS;
+    if (!leaderNode(now).empty() || !leaderAt_ || now - leaderAt_ < wait) return false;
     return tree(now).up.count(me_.node) == 0;
 }
 
 auto Node::learntTick(Us now, bool look) -> void {
     if (look) led_ = leaderNode(now);
     if (!led_.empty() || !leaderAt_) leaderAt_ = now;
+    led1_ = led1_ || !led_.empty();
     me_.settled = word_.gen > 0;
     // What the others must know at once: that this one leads, or does no more.
     if (vt_ && vt_->leads() != said_.leader) nextBeat_ = now;
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -241,6 +241,7 @@
     std::int64_t listNo_ = 0;
     std::deque<std::int64_t> lists_;  // the numbers of listings held here, of one unbroken series
     Str parent_, led_;
+    bool led1_ = false;  // a leader was heard of in this life
     Us saidOff_ = 0, parentSince_ = 0, downAt_ = 0, pullDue_ = 0, leaderAt_ = 0, lookAt_ = 0, coresAt_ = 0,
        treeAt_ = 0;
     Tree tree_;
