--- a/tests/edge_platform_test.cpp
+++ b/tests/edge_platform_test.cpp
@@ -1050,6 +1050,32 @@
     CHECK(far >= 5);
 }
 
+// Exchanges that may only go to the near region claim its servers; long prompts that may go anywhere
+// are read in the other, unless that is full or no other exchange is bound.
+TEST(EdgePlatform, boundExchangesClaimARegion) {
+    auto conf = Str(
+        R"({"pools":{"p":{"engine":true,"kvTokens":300000}},"mappings":[{"name":"a","path":"/a/*","pool":"p","homes":["near"],"aimUs":800000},{"name":"l","path":"/l/*","pool":"p","aimUs":1000000}]})");
+    for (auto bound : {false, true}) {
+        auto r = Rig();
+        CHECK_EQ(200, r.config(conf));
+        r.list({{"x", "near", "p", "z", 10}, {"y", "near", "p", "z", 10}, {"f", "far", "p", "z", 10}});
+        for (auto i = 0; i < 60; i++) {
+            auto x = r.ask(bound ? "/a/x" : "/l/x", {{"X-Tokens", "300,10"}});
+            CHECK(r.go(x));
+            CHECK(!bound || r.last().server != "f");
+            r.ok(x);
+        }
+        auto far = 0;
+        for (auto i = 0; i < 4; i++) {
+            auto x = r.ask("/l/x", {{"X-Tokens", "17000,10"}, {"X-Parts", fmt::format("a{}:13000,b{}:4000", i, i)}});
+            CHECK(r.go(x));
+            far += r.last().server == "f";
+            r.ok(x);
+        }
+        CHECK_EQ(bound ? 4 : 0, far);
+    }
+}
+
 // Each pool gets its share, and a further try with another name may draw the other pool.
 TEST(EdgePlatform, weightedPools) {
     auto r = Rig();
--- a/tests/node_learnt_test.cpp
+++ b/tests/node_learnt_test.cpp
@@ -648,6 +648,23 @@
     CHECK(f.until(SEC, [&] { return f.listed("s3", UP); }));
 }
 
+// All lose power at once: nobody has a listing then, and one is asked for before there is a leader.
+TEST(NodeLearnt, listingBeforeTheElection) {
+    auto q = Quiet();
+    for (auto seed = 300u; seed < 304; seed++) {
+        auto f = Fleet(seed);
+        f.standing();
+        CHECK_EQ(200, f.list(*f.leader(), {"s1"}));
+        f.run(SEC);
+        for (auto& b : f.bs) f.stop(*b);
+        f.run(SEC);
+        for (auto& b : f.bs) f.start(*b);
+        CHECK(f.until(450 * MS, [&] { return !f.leader() && !f.duties().empty(); }));
+        CHECK_EQ(200, f.list(*f.duties()[0], {"s1"}));
+        CHECK(f.until(3 * SEC, [&] { return f.listed("s1", UP); }));
+    }
+}
+
 // A leader that was frozen acknowledges nothing before it has asked.
 TEST(NodeLearnt, frozenLeaderWakes) {
     auto q = Quiet();
