The edge behind another wire: loads fade as they age, new servers fill like the others

With 48 edges a server's load is heard of once a second while an exchange lasts 0.4 s: what was heard fades towards the pool's average over the time that an exchange takes, and a server that was never heard of counts as average. The nodes draw fewer servers to compare the more they are.

--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -475,6 +475,12 @@
             f.running = n(0), f.waiting = n(1), f.slots = n(2);
             f.loadAt = now;
             f.atLoad = f.inflight;
+            auto s = n_.servers().find(name);
+            auto k = double(std::max(0, f.running + f.waiting - f.atLoad));
+            if (s != n_.servers().end()) {
+                auto& p = seen_[s->second.l.pool];
+                p.others += (p.loads++ ? 0.05 : 1) * (k - p.others);
+            }
         }
     }
     if (auto t = header(h, di_.coldMs); !t.empty())
@@ -486,16 +492,21 @@
     return std::max(1, f.slots ? f.slots : s.l.slots ? int(s.l.slots) : pr.slots);
 }
 
-// How many exchanges a server holds. What it said of itself counts, with what of ours has come
-// or gone since; the older that is, the less.
+// How many exchanges a server holds: ours, and what it last said of others'. As those come to
+// their ends, what was said tells less and less, and the pool's average more.
 auto Edge::load(const Str& name, const Server& s, Us now) -> double {
     auto& f = fit_[name];
     auto own = double(f.inflight);
     if (s.seen > f.loadAt) return occupancy(name, s);
-    if (!f.loadAt) return own;
-    auto age = now - f.loadAt;
-    auto trust = age <= BELIEVED ? 1.0 : std::max(0.0, 1.0 - double(age - BELIEVED) / double(2 * BELIEVED));
-    return std::max(own, own + trust * (f.running + f.waiting - f.atLoad));
+    auto& p = seen_[s.l.pool];
+    if (!f.loadAt) return own + p.others;
+    auto others = double(std::max(0, f.running + f.waiting - f.atLoad));
+    auto age = double(now - f.loadAt);
+    auto w = std::exp(-age / std::max(p.held, double(20 * MS)));
+    auto e = own + others * w + p.others * (1 - w);
+    auto trust =
+        age <= double(BELIEVED) ? 1 : std::max(0.0, 1 - (age - double(BELIEVED)) / double(2 * BELIEVED));
+    return own + (e - own) * trust;
 }
 
 auto Edge::cold(const Str& name, const Server& s, const PoolRule& pr, Us now) -> bool {
@@ -570,18 +581,21 @@
 
 // The server for an exchange, of those that may take it. A long shared beginning goes where it
 // was read before: rendezvous hashing names the same two servers at every node. All else goes to
-// the better of two drawn at random, since many nodes that know the same would all run to one.
+// the best of some drawn at random, since many nodes that know the same would all run to one.
 auto Edge::pick(const std::vector<Cand>& cs, const Exchange& x, const PoolRule& pr, Us now, Str& how)
     -> std::size_t {
     auto cost = [&](std::size_t i, bool home) { return predict(cs[i], x, pr, home, now); };
-    auto two = [&] {
-        auto i = rng_.below(cs.size()), j = rng_.below(cs.size());
-        if (i == j) j = (j + 1) % cs.size();
-        return cost(i, false) <= cost(j, false) ? i : j;
+    // The more nodes choose, the fewer servers each compares, lest all run to the same one.
+    auto drawn = [&] {
+        auto n = std::clamp(cs.size() * 12 / nodes(), std::min<std::size_t>(2, cs.size()), cs.size());
+        auto from = rng_.below(cs.size()), b = from;
+        for (auto k = std::size_t(1); k < n; k++)
+            if (auto j = (from + k) % cs.size(); cost(j, false) < cost(b, false)) b = j;
+        return b;
     };
-    how = "least of two";
+    how = "least of some";
     if (broken.pickRandom) return rng_.below(cs.size());
-    if (!pr.engine || !x.key || x.sharedTokens < LONG) return two();
+    if (!pr.engine || !x.key || x.sharedTokens < LONG) return drawn();
     auto ord = std::vector<std::size_t>(cs.size());
     for (auto i = std::size_t(0); i < cs.size(); i++) ord[i] = i;
     std::sort(ord.begin(), ord.end(),
--- a/src/edge.hpp
+++ b/src/edge.hpp
@@ -258,6 +258,8 @@
     };
     struct Seen {
         double held = 0, tokens = 0;  // smoothed: how long an exchange takes a server, and its own tokens
+        std::int64_t loads = 0;
+        double others = 0;  // and how many of other nodes' a server holds
     };
     struct Purse {
         std::int64_t milli = 0;
--- a/tests/edge_platform_test.cpp
+++ b/tests/edge_platform_test.cpp
@@ -503,7 +503,22 @@
         CHECK(r.go(y));
         r.ok(y);
     }
-    // Listed again it is asked again.
+    // Listed again it is asked again; where it says the same again, less often.
+    r.list({{"x"}, {"y"}});
+    auto denied = 0;
+    for (auto i = 0; i < 100; i++) {
+        auto y = r.ask("/a/x");
+        CHECK(r.go(y));
+        if (r.last().server == bad) {
+            denied++;
+            r.e->upWhole(y, r.last().a, 421, {}, "", r.now);
+            CHECK(r.go(y));
+        }
+        r.ok(y);
+        r.list({{"x"}, {"y"}}, 20 * MS);
+    }
+    CHECK(denied >= 1 && denied <= 4);
+    r.run(8 * SEC);
     r.list({{"x"}, {"y"}});
     auto seen = 0;
     for (auto i = 0; i < 40; i++) {
@@ -905,7 +920,9 @@
                         if (!r.e->maySend(s.x, s.a, r.now)) continue;
                         auto p = r.e->find(s.x)->m.pool;
                         (r.e->find(s.x)->tries == 1 ? first : extra)[p].push_back(r.now);
-                        if (t % 500 < 250 || g.chance(.6)) r.e->upLost(s.x, s.a, "reset", r.now);
+                        // First only the smaller pool is in trouble, then both.
+                        if (t < 700 ? p == "q" : t % 500 < 250 || g.chance(.6))
+                            r.e->upLost(s.x, s.a, "reset", r.now);
                         else r.ok(s.x);
                     }
             }
@@ -1013,6 +1030,108 @@
     }
 }
 
+// Edges that each heard of a server at another time, at three quarters of its places: few arrive
+// where all places are taken, and all do not run to a server that is new.
+TEST(EdgePlatform, noHerd) {
+    struct Case {
+        int nodes;
+        Str how;
+        double over;
+        int fresh;
+    };
+    auto cs = std::vector<Case>{{12, "", 0, 0}, {12, "random", 0, 0}, {48, "", 0, 0}};
+    for (auto& c : cs) {
+        auto g = Rng{61};
+        auto ls = std::vector<Rig::S>();
+        for (auto i = 0; i < 11; i++) ls.push_back({fmt::format("i-{}", i), "near", "p", "z", 32});
+        auto f = Fleet(c.nodes,
+            R"({"budget":{"slack":64},"pools":{"p":{"engine":true,"kvTokens":319818}},"mappings":[
+             {"name":"b","path":"/b/*","pool":"p","aimUs":800000,"stream":true}]})",
+            ls);
+        auto running = std::map<Str, int>();
+        struct Run {
+            Us till;
+            std::size_t e;
+            std::int64_t x;
+            Str server;
+        };
+        auto runs = std::deque<Run>();
+        auto all = 0, over = 0, refused = 0;
+        for (auto t = 0; t < 450; t++) {
+            if (t == 400) {
+                ls[0].name = "new";
+                for (auto& r : f.es) r->list(ls, 0);
+            }
+            for (auto i = std::size_t(0); i < f.es.size(); i++) {
+                auto& r = *f.es[i];
+                r.e->broken.pickRandom = c.how == "random";
+                for (auto k = 0; k < 2; k++)
+                    if (g.chance(11 * 24 / (0.4 * 50) / c.nodes / 2))
+                        refused += r.fate(r.ask("/b/x", {{"X-Tokens", "383,48"}})) != 0;
+                for (auto& s : f.fresh(i)) {
+                    CHECK(r.e->maySend(s.x, s.a, r.now));
+                    auto n = ++running[s.server];
+                    if (t > 100 && t < 400) all++, over += n > 32;
+                    if (s.server == "new") c.fresh = std::max(c.fresh, n);
+                    r.e->upHead(s.x, s.a, 200, r.echo(s.x, {{"X-Load", fmt::format("{},0,32", n)}}), r.now);
+                    runs.push_back({r.now + 400 * MS, i, s.x, s.server});
+                }
+            }
+            while (!runs.empty() && runs.front().till <= f.now()) {
+                auto v = runs.front();
+                runs.pop_front();
+                running[v.server]--;
+                f.es[v.e]->e->upEnd(v.x, f.es[v.e]->e->find(v.x)->a, f.now());
+            }
+            f.step();
+        }
+        c.over = double(over) / all;
+        if (c.how.empty()) CHECK_EQ(0, refused);
+    }
+    CHECK(cs[0].over < 0.01);
+    CHECK(cs[1].over > 3 * cs[0].over + 0.02);
+    CHECK(cs[0].fresh <= 40);
+    CHECK(cs[2].fresh <= 41);
+}
+
+// New among the listed in our time, and nobody says how it is: cold by its pool's time.
+TEST(EdgePlatform, newServersAreCold) {
+    auto r = Rig();
+    CHECK_EQ(200, r.config(one("", R"(,"pools":{"p":{"coldUs":4000000,"coldRate":5}})")));
+    r.list({{"x", "near", "p", "z", 90}});
+    r.run(3 * SEC);
+    auto in = [&](int steps) {
+        auto n = 0;
+        for (auto i = 0; i < steps; i++) {
+            auto x = r.ask("/a/x");
+            CHECK(r.go(x));
+            n += r.last().server == "c";
+            r.ok(x);
+            r.run(20 * MS);
+        }
+        return n;
+    };
+    r.list({{"x", "near", "p", "z", 90}, {"c", "near", "p", "z", 90}}, 20 * MS);
+    auto n = in(50);
+    CHECK(n >= 2 && n <= 6);
+    in(160);
+    CHECK(in(50) > 12);
+    // A reply may tell that it is cold again.
+    auto x = r.ask("/a/x");
+    CHECK(r.go(x));
+    auto who = r.last().server;
+    r.ok(x, {{"X-Cold", "3000"}});
+    auto k = 0;
+    for (auto i = 0; i < 50; i++) {
+        auto y = r.ask("/a/x");
+        CHECK(r.go(y));
+        k += r.last().server == who;
+        r.ok(y);
+        r.run(20 * MS);
+    }
+    CHECK(k <= 6);
+}
+
 // Short prompts go round a server that reads a long one; the near region comes first, until it
 // is much fuller than another.
 TEST(EdgePlatform, shortPromptsAndRegions) {
@@ -1022,6 +1141,11 @@
     auto big = r.ask("/a/x", {{"X-Tokens", "17000,10"}, {"X-Parts", "a1:13000,b2:4000"}});
     CHECK(r.go(big));
     auto reading = r.last().server;
+    // The other server holds more, but reads nothing.
+    auto o = r.ask("/a/x", {{"X-Tokens", "300,10"}});
+    CHECK(r.go(o));
+    CHECK(r.last().server != reading);
+    r.ok(o, {{"X-Load", "4,0,10"}});
     for (auto i = 0; i < 5; i++) {
         auto x = r.ask("/a/x", {{"X-Tokens", "300,10"}});
         CHECK(r.go(x));
