What may be repeated is never joined to events already delivered

A mapping that may be repeated but not resumed could get a stream as its reply; lost midway, it would have been sent again and its events appended. Found on reading, with a test in streams.

--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -379,6 +379,8 @@
 auto Edge::bar(const Exchange& x, bool ran, bool more) const -> Str {
     if (ran && !broken.resendAny) {
         if (!x.m.again()) return "it may have run, and a stream that cannot be resumed never runs twice";
+        if (x.headSent && !x.m.resumable)
+            return "its beginning was delivered, and nothing can be joined to it";
         if (x.headSent && !x.counting) return "its events cannot be counted, so they cannot be joined";
     }
     auto moved = x.moved + more;
--- a/tests/edge_platform_test.cpp
+++ b/tests/edge_platform_test.cpp
@@ -244,7 +244,8 @@
     auto r = Rig();
     CHECK_EQ(200,
         r.config(one(R"(,"stream":true,"Resumable":true,"MaxTries":3},
-      {"name":"n","host":"h.example","method":"*","path":"/n/*","pool":"p","stream":true,"MaxTries":3)",
+      {"name":"n","host":"h.example","method":"*","path":"/n/*","pool":"p","stream":true,"MaxTries":3},
+      {"name":"p","host":"h.example","method":"*","path":"/p/*","pool":"p","repeatable":true,"MaxTries":3)",
             R"(,"models":{"m":{"migrationLimit":2,"maxSequence":40}},"pools":{"p":{"stride":6}})")));
     r.list({{"x"}, {"y"}});
     auto m = Headers{{"X-Model", "m"}, {"X-Tokens", "10,20"}};
@@ -292,6 +293,13 @@
     CHECK(!lost("/a/1", {{"X-Model", "other"}}, 2));
     CHECK(!lost("/n/1", m, 2));
     CHECK(!lost("/n/1", m, 0));
+    // What may be repeated is not joined: its events are no stream that can be resumed.
+    auto p = r.ask("/p/1");
+    CHECK(r.go(p));
+    CHECK(r.e->upHead(p, 1, 200, r.echo(p), r.now));
+    r.event(p, "1");
+    r.e->upLost(p, 1, "reset", r.now);
+    CHECK_EQ(2, r.fate(p));
     // A sender's own resumption is a first send and passes on what it says.
     auto ct = r.ct.get("extra_sends_total");
     auto z = r.ask("/a/1", {{"X-Model", "m"}, {"Last-Event-Id", "7"}});
@@ -1159,14 +1167,16 @@
         CHECK_EQ(reading, r.last().server);
         r.ok(x);
     }
-    auto far = 0;
+    auto far = 0, before = 0;
     for (auto i = 0; i < 30; i++) {
         auto x = r.ask("/a/x", {{"X-Tokens", "300,10"}});
         if (r.fate(x) || r.e->find(x)->phase() != Phase::Sending) break;
         CHECK(r.go(x));
         far += r.last().server == "f";
+        before += !far;
     }
     CHECK(far >= 5);
+    CHECK(before >= 6 && before < 20);  // before the near ones were full
 }
 
 // Each pool gets its share, and a further try with another name may draw the other pool.
