Learnt membership: what is lost on its way is made up, two listings become one

A server that lapsed from the listing was missing from later deltas, so who held an older listing could keep it; such a one is told the whole.

--- a/src/node.cpp
+++ b/src/node.cpp
@@ -748,6 +748,8 @@
         if (now - s.told >= lim) {
             logf("server {} lapsed from the listing", i->first);
             ct_.add("listings_lapsed_total");
+            // Who holds an older listing does not know that it left: it is told the whole.
+            while (!lists_.empty() && lists_.front() < s.l.gen) lists_.pop_front();
             i = servers_.erase(i);
         } else ++i;
     }
@@ -1300,11 +1302,6 @@
     return tree_;
 }
 
-auto Node::learntDown(Us now) -> void {
-    downAt_ = now;
-    for (auto& k : treeNow(now).kids(me_.node)) learntBeat(k, false, false, now);
-}
-
 auto Node::learntSend(Us now) -> void {
     me_.beat++;
     ownVersion(now);
@@ -1318,7 +1315,6 @@
     auto to = std::set<Str>();
     for (auto& n : t.kids(me_.node)) to.insert(n);
     if (!p.empty()) to.insert(p);
-    downAt_ = now;
     for (auto& n : to) learntBeat(n, false, false, now);
     // Cores keep hearing of each other whatever the tree is: voters find each other's address so.
     if (vt_)
@@ -1366,7 +1362,6 @@
         learntBeat(e.node, false, false, now);
     }
     if (news) nextBeat_ = now;
-    else if (e.node == parent_) learntDown(now);
 }
 
 auto Node::learntRows(const wire::Beat& b, const Str& from, Us now) -> void {
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -196,7 +196,6 @@
     auto ownVersion(Us now) -> void;
     auto learntBeat(const Str& n, bool whole, bool own, Us now) -> bool;
     auto learntSend(Us now) -> void;
-    auto learntDown(Us now) -> void;
     auto learntAsk(const Str& addr, Us now) -> void;
     auto learntHear(const wire::Envelope& e, Us now) -> void;
     auto learntRows(const wire::Beat& b, const Str& from, Us now) -> void;
@@ -241,8 +240,7 @@
     std::int64_t listNo_ = 0;
     std::deque<std::int64_t> lists_;  // the numbers of listings held here, of one unbroken series
     Str parent_, led_;
-    Us saidOff_ = 0, parentSince_ = 0, downAt_ = 0, pullDue_ = 0, leaderAt_ = 0, lookAt_ = 0, coresAt_ = 0,
-       treeAt_ = 0;
+    Us saidOff_ = 0, parentSince_ = 0, pullDue_ = 0, leaderAt_ = 0, lookAt_ = 0, coresAt_ = 0, treeAt_ = 0;
     Tree tree_;
     std::size_t cores_ = 0;
 };
--- a/tests/node_learnt_test.cpp
+++ b/tests/node_learnt_test.cpp
@@ -54,6 +54,7 @@
     std::map<Str, std::size_t> byAddr;
     std::int64_t ids = 0, between = 0, all = 0, probes = 0, beats = 0;
     Str bad;
+    double loss = 0;
     bool serveOn = true, weigh = false, broken = false;
 
     explicit Fleet(std::uint64_t seed) : r{seed} {}
@@ -141,7 +142,7 @@
     }
     auto post(Box& b, const Str& to, const wire::Envelope& e) -> void {
         auto j = at(to);
-        if (j < 0) return;
+        if (j < 0 || r.chance(loss)) return;
         auto& o = *bs[std::size_t(j)];
         auto d = b.st.region != o.st.region ? 55 * MS : b.st.district != o.st.district ? 900 : Us(300);
         if (weigh) {
@@ -374,6 +375,194 @@
     }
 }
 
+// A node that only passes news on is lost just before an order.
+TEST(NodeLearnt, relayLost) {
+    auto q = Quiet();
+    for (auto seed = 1u; seed < 4; seed++)
+        for (auto i = 3u; i < 12; i++) {
+            auto f = Fleet(seed);
+            f.standing();
+            f.run(Us(f.r.below(SEC)));
+            f.stop(*f.bs[i]);
+            CHECK(f.ordered("z", 2 * SEC));
+            CHECK(f.until(1700 * MS, [&] { return f.everywhere("z"); }));
+        }
+}
+
+// What was lost on its way is told again: all hold the same rows and the same listing.
+TEST(NodeLearnt, lossIsMadeUp) {
+    auto q = Quiet();
+    for (auto seed = 1u; seed < 13; seed++) {
+        auto f = Fleet(seed);
+        f.standing();
+        f.loss = .3;
+        for (auto k = 0; k < 30; k++) {
+            auto ns = std::vector<Str>();
+            for (auto i = 0; i < 6; i++)
+                if (f.r.chance(.7)) ns.push_back(fmt::format("s{}", i));
+            if (auto d = f.duties(); !d.empty()) f.list(*d[f.r.below(d.size())], ns);
+            if (f.r.chance(.2)) f.order(*f.bs[f.r.below(12)], fmt::format("z{}", k));
+            f.run(Us(f.r.below(600 * MS)));
+        }
+        f.loss = 0;
+        f.run(4 * SEC);
+        CHECK(f.leader() && f.leader()->n->duty(f.t));
+        auto& l = *f.leader()->n;
+        for (auto& b : f.bs) {
+            CHECK_EQ(std::size_t(12), b->n->aliveNodes(f.t).size());
+            CHECK_EQ(l.word().gen, b->n->word().gen);
+            CHECK_EQ(l.servers().size(), b->n->servers().size());
+            for (auto& [n, s] : l.servers()) {
+                CHECK_EQ(s.l.state, b->n->servers().at(n).l.state);
+                CHECK_EQ(s.l.gen, b->n->servers().at(n).l.gen);
+            }
+            for (auto& o : f.bs)
+                if (o != b) {
+                    auto& r = b->n->rows().at(o->st.node).r;
+                    CHECK_EQ(o->n->me().version, r.version);
+                    CHECK_EQ(o->n->me().gen, r.gen);
+                    CHECK_EQ(o->n->me().leader, r.leader);
+                }
+        }
+    }
+}
+
+// A server that left while a node was cut off is not known there any more, nor told anew by it.
+TEST(NodeLearnt, longCutForgetsServers) {
+    auto q = Quiet();
+    for (auto i : {2u, 9u}) {
+        auto f = Fleet(92);
+        f.standing();
+        auto l = f.leader();
+        if (l == f.bs[i].get()) continue;
+        CHECK_EQ(200, f.list(*l, {"s1", "s2"}));
+        f.run(SEC);
+        auto& c = *f.bs[i];
+        f.lone(c, true);
+        CHECK_EQ(200, f.list(*l, {"s1"}));
+        f.run(70 * SEC);
+        CHECK_EQ(-1, f.state(*l, "s2"));
+        CHECK_EQ(int(UP), f.state(c, "s2"));
+        f.lone(c, false);
+        CHECK(f.until(3 * SEC, [&] { return f.state(c, "s2") == -1 && f.listed("s1", UP); }));
+        f.run(3 * SEC);
+        CHECK(f.listed("s2", -1));
+    }
+}
+
+// Two halves without a leader, each with a listing of its own, come together on the one of the
+// higher number, whole.
+TEST(NodeLearnt, twoListingsBecomeOne) {
+    auto q = Quiet();
+    for (auto seed = 1u; seed < 9; seed++) {
+        auto f = Fleet(seed);
+        f.standing();
+        CHECK_EQ(200, f.list(*f.leader(), {"s0"}));
+        f.run(SEC);
+        for (auto i = 0u; i < 3; i++) f.stop(*f.bs[i]);
+        f.run(5 * SEC);
+        auto part = [&](bool on) {
+            for (auto i = 0u; i < 12; i++)
+                for (auto j = 0u; j < 12; j++)
+                    if (f.bs[i]->st.region != f.bs[j]->st.region) {
+                        if (on) f.cut.insert({i, j});
+                        else f.cut.erase({i, j});
+                    }
+        };
+        part(true);
+        f.run(6 * SEC);
+        auto ds = f.duties();
+        CHECK_EQ(std::size_t(2), ds.size());
+        for (auto k = 0u; k < 3; k++)
+            for (auto i = 0u; i < 2; i++) {
+                auto ns = std::vector<Str>{"s0"};
+                for (auto x = 0u; x <= k; x++)
+                    if (f.r.chance(.6)) ns.push_back(fmt::format("half{}-{}", i, x));
+                CHECK_EQ(200, f.list(*ds[i], ns));
+                f.run(Us(f.r.below(SEC)));
+            }
+        part(false);
+        f.run(5 * SEC);
+        CHECK_EQ(std::size_t(1), f.duties().size());
+        auto& a = *f.duties()[0]->n;
+        for (auto& b : f.bs) {
+            if (!b->up) continue;
+            CHECK_EQ(a.servers().size(), b->n->servers().size());
+            for (auto& [n, s] : a.servers()) {
+                CHECK_EQ(std::size_t(1), b->n->servers().count(n));
+                CHECK_EQ(s.l.gen, b->n->servers().at(n).l.gen);
+                CHECK_EQ(s.l.state, b->n->servers().at(n).l.state);
+            }
+        }
+    }
+}
+
+// The term of a disk that is no voter deposes nobody; a voter's does.
+TEST(NodeLearnt, strangersTerm) {
+    auto q = Quiet();
+    auto f = Fleet(93);
+    f.standing();
+    auto l = f.leader();
+    auto other = Str();
+    for (auto& d : f.voters())
+        if (d != l->n->me().disk) other = d;
+    auto say = [&](const Str& disk) {
+        auto e = wire::Envelope();
+        auto r = wire::AppendReply();
+        r.term = l->n->voter()->term() + 5;
+        e.wire = WIRE;
+        e.node = "x";
+        e.disk = disk;
+        e.reign = l->n->voter()->reign();
+        e.__set_appendReply(r);
+        l->n->hear(e, f.t);
+    };
+    say("disk-of-nobody");
+    CHECK(l->n->voter()->leads());
+    say(other);
+    CHECK(!l->n->voter()->leads());
+}
+
+// A disk retires only when what it heard of stands behind all that its own log could hold.
+TEST(NodeLearnt, retiresBehindItsLogOnly) {
+    auto q = Quiet();
+    struct Port : VoterPort {
+        auto voterTell(const Str&, wire::Envelope&) -> void override {}
+        auto voterDisk(const DiskWrite&) -> void override {}
+        auto voterWord(const Word&, const Str&, const Outcome&) -> void override {}
+        auto voterRead(std::int64_t, bool) -> void override {}
+    } p;
+    auto ct = Counters();
+    auto v = Voter(p, ct, 1);
+    v.start({}, "a", 0);
+    auto w = Word();
+    w.found({}, {{"x", "a"}, {"y", "b"}, {"z", "c"}});
+    v.found(w, 1, 0);
+    // Two entries more, of which it does not know yet whether they are committed.
+    auto e = wire::Envelope();
+    auto a = wire::AppendAsk();
+    a.term = a.prevTerm = a.prevIdx = a.commit = 1;
+    for (auto i : {2, 3}) {
+        auto x = wire::Entry();
+        x.term = 1;
+        x.idx = i;
+        x.kind = 1;
+        x.body = "{}";
+        a.entries.push_back(x);
+    }
+    e.disk = "b";
+    e.reign = 1;
+    e.__set_appendAsk(a);
+    v.hear(e, 1);
+    CHECK_EQ(std::int64_t(3), v.last());
+    CHECK(!v.retire(3, "new", 2));
+    CHECK_EQ(Str("a"), v.disk());
+    CHECK(v.retire(4, "new", 2));
+    CHECK(v.blank());
+    CHECK_EQ(Str("new"), v.disk());
+    CHECK(!v.retire(9, "newer", 3));
+}
+
 // One core loses its disk at the moment of an acknowledgement, others their power. True if all
 // that was acknowledged can be read back, and the seat is filled again.
 static auto wiped(std::uint64_t seed, Us sync, bool broken) -> bool {
@@ -587,8 +776,14 @@
     auto rate = f.between / 16;
     if (getenv("DT_SHOW")) fmt::print("{} bytes and {} beats a second\n", rate, f.beats / 16);
     CHECK(rate > 500);  // counted at all
-    CHECK(rate < 20'000);
-    CHECK(f.beats / 16 < 100);
+    CHECK(rate < 5'000);
+    CHECK(f.beats / 16 < 70);
+    CHECK_EQ(std::int64_t(0), f.probes);
+    f.bs[0]->st.probes = true;
+    f.stop(*f.bs[0]);
+    f.restart(*f.bs[0]);
+    f.run(2 * SEC);
+    CHECK(f.probes > 0);
 }
 
 TEST(NodeLearnt, oneDutyAndItsListing) {
@@ -760,7 +955,7 @@
             nodes, f.between / 5, f.all / 5 / nodes, (clock() - c) / 5 / nodes);
     CHECK_EQ(was, again());
     for (auto& b : f.bs) CHECK_EQ(std::size_t(nodes), b->n->aliveNodes(f.t).size());
-    CHECK(f.all / 5 / nodes < 200 * nodes);
+    CHECK(f.all / 5 / nodes < 80 * nodes);
     auto id = f.order(*f.bs.back(), "z");
     CHECK(f.until(SEC, [&] { return f.ok(id); }));
     CHECK(f.until(SEC, [&] { return f.everywhere("z"); }));
