A connection closed before its reply is a loss, not an empty reply of 200

Cause: Beast's put_eof on a parser that got nothing completes it (an assertion in debug builds, status 200 in Release).

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -506,8 +506,7 @@
         auto got = std::size_t(0);
         std::tie(ec, got) = co_await s.async_read_some(b.prepare(READ), quiet);
         if (ec == asio::error::eof) {
-            p->put_eof(ec);
-            if (!ec && !p->is_done()) ec = http::error::partial_message;
+            ec = replyEnds(*p);
             co_return;
         }
         b.commit(got);
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -6,6 +6,14 @@
 
 namespace dt {
 
+auto replyEnds(http::response_parser<http::string_body>& p) -> beast::error_code {
+    auto ec = beast::error_code();
+    if (!p.got_some()) return http::error::end_of_stream;  // Beast would call nothing at all a reply
+    p.put_eof(ec);
+    if (!ec && !p.is_done()) ec = http::error::partial_message;
+    return ec;
+}
+
 auto EventSplit::next(Event& e) -> bool {
     // An event ends at an empty line; lines end with LF or CRLF.
     auto p = std::size_t(0);
--- a/src/http.hpp
+++ b/src/http.hpp
@@ -76,6 +76,9 @@
     static constexpr Us FIRST = 1500 * MS;
 };
 
+/// A server's connection has ended: no error if the reply is whole.
+auto replyEnds(http::response_parser<http::string_body>& p) -> beast::error_code;
+
 struct CallError {
     Str why;
 };
