--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -1162,7 +1162,7 @@
 
 // Could it go on at another server, now?
 auto Edge::movable(Exchange& x, bool ran, Us now, bool arrived) -> bool {
-    if (!bind(x) || now >= x.due || !bar(x, ran || x.ranBefore, true).empty()) return false;
+    if (!bind(x) || now >= x.due || !bar(x, ran || x.ranBefore, arrived).empty()) return false;
     if (arrived && !pays(x, now)) return false;
     auto n = x.trace.size();
     x.tried.push_back(x.server);
@@ -1186,7 +1186,7 @@
     x.ranBefore = x.ranBefore || ran;
     // What the newest configuration allows is what counts, not what it allowed at first.
     if (!bind(x)) return fail(x, 502, why + "; its mapping is no longer configured", now);
-    if (auto no = bar(x, x.ranBefore, true); !no.empty()) return fail(x, 502, why + "; " + no, now);
+    if (auto no = bar(x, x.ranBefore, arrived); !no.empty()) return fail(x, 502, why + "; " + no, now);
     if (now >= x.due) return fail(x, 504, why + "; its time is over", now);
     if (arrived && !pays(x, now)) {
         wantAt_ = now;
@@ -1201,7 +1201,7 @@
         turn(x, ct_, EvWait{});
     }
     if (arrived) purse(x.m.pool, now) -= cost(x);
-    if (!x.m.model.empty()) x.moved++;
+    if (!x.m.model.empty() && arrived) x.moved++;
     ct_.add(ran ? "migrations_ongoing_total" : "migrations_new_total");
     if (arrived) ct_.add("extra_sends_total");
     if (ran) ct_.add("prompt_tokens_again_total", x.seq);
