duneturn scale: hollow nodes over virtual time give the control plane's cost by nodes

Cause: the users expect 390 nodes before 870 servers within two years, and nothing told what control costs a node there. scale runs the real Node and Voter of a fleet of any size in one process over virtual time, network and disks; every message goes through Thrift's compact protocol and is counted, calls into the logic are timed. Same seed, same counts; bounded by half of the machine's memory.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include "ctl.hpp"
 #include "daemon.hpp"
 #include "fakes.hpp"
+#include "scale.hpp"
 #include "simulate.hpp"
 
 DEFINE_string(settings, "", "settings file (JSON); flags are laid over it");
@@ -52,6 +53,9 @@
 DEFINE_string(broken, "", "simulate: a deliberate fault in the logic");
 DEFINE_string(place, "", "simulate: a simpler placement, random or least");
 DEFINE_int64(leave_limit_us, 5000000, "simulate: time after which nothing new reaches a leaving server");
+DEFINE_string(membership, "roster", "scale: roster or learnt");
+DEFINE_string(svg, "", "scale: file for the plot");
+DEFINE_string(earlier, "", "scale: points of an earlier run (--json), plotted beside");
 DEFINE_bool(trace, false, "simulate: print the trace as it goes");
 
 namespace dt {
@@ -72,12 +76,15 @@
   ctl            the operators' command line (duneturn ctl --help)
   compare A B    where the beliefs of two nodes differ (operator addresses)
   simulate       a day of the whole fleet over virtual time, from a seed
+  scale          the control plane's cost by the number of nodes, over virtual time
   fake-server, fake-sender, fake-platform   stand-ins for trying and testing
 
 edge, core:  --settings FILE, or --node --district --region --peer --sender --operator
              --seeds [--data --roster --seats]; --check, --drain_us N, --workers N
 simulate:    --example DIR --seed N --runs N --duration_us --scale --faults all|KIND,…
              --per_minute --broken VARIANT --place random|least --trace --json
+scale:       --nodes N,… --servers N[,…] --seed N --membership roster|learnt --svg FILE
+             --earlier FILE --json
 fake-server: --listen --name --weights --slots --token_us --prefill_us --plain_us --cold --log
 fake-platform: --servers FILE --nodes OPERATOR,… --listen
 fake-sender: --day FILE --nodes SENDER,… --duration_us --scale --seed --report
@@ -178,6 +185,9 @@
     if (role == "fake-sender")
         return fakeSenderRun(
             {FLAGS_day, FLAGS_report, commas(FLAGS_nodes), FLAGS_duration_us, FLAGS_scale, FLAGS_seed});
+    if (role == "scale")
+        return scaleMain({FLAGS_nodes, FLAGS_servers, FLAGS_membership, FLAGS_svg, FLAGS_earlier, FLAGS_seed,
+            FLAGS_json, 0});
     if (role == "simulate") {
         if (FLAGS_runs < 1 || (FLAGS_place != "" && FLAGS_place != "random" && FLAGS_place != "least")) {
             fmt::print(stderr, "duneturn simulate: --runs wants 1 or more, --place random or least\n");
--- /dev/null
+++ b/src/scale.hpp
@@ -0,0 +1,50 @@
+#pragma once
+// Hollow nodes: the real Node and Voter of a whole fleet, without traffic, over virtual time,
+// network and disks; the control plane's cost a node and its convergence times, by the number of nodes.
+#include "node.hpp"
+
+namespace dt {
+
+/// As given on the command line.
+struct ScaleFlags {
+    Str nodes, servers, membership, svg, earlier;
+    std::uint64_t seed = 1;
+    bool json = false;
+    std::int64_t memory = 0;  // bytes of this machine's memory; 0: asked for
+};
+
+struct ScaleOptions {
+    struct Size {
+        int nodes = 0, servers = 0;
+    };
+    std::vector<Size> sizes;
+    bool learnt = false;
+    std::uint64_t seed = 1;
+    Str svg;
+    std::vector<Str> earlier;  // points of earlier runs, a line of JSON each, plotted beside
+    bool json = false;
+    bool faults = true;  // the losses after the quiet time and the changes
+};
+
+struct ScaleError {
+    Str why;
+};
+
+/// What was found at one number of nodes. All figures are whole numbers; their names end in the unit
+/// where it is not a count. A time is -1 where what was waited for did not come.
+struct ScalePoint {
+    Str membership;
+    std::uint64_t seed = 1;
+    std::map<Str, std::int64_t> counts;  // from virtual time: the same seed gives the same
+    std::map<Str, std::int64_t> costs;   // processor time and memory of this machine
+    auto json() const -> Str;
+};
+
+auto scaleParse(const ScaleFlags& f) -> tl::expected<ScaleOptions, ScaleError>;
+/// An upper estimate of the memory of a run at this size, in bytes.
+auto scaleMemory(int nodes, int servers, bool learnt) -> std::int64_t;
+auto scalePoint(const ScaleOptions& o, ScaleOptions::Size z) -> ScalePoint;
+/// The subcommand: 0, 1 (the plot could not be written) or 2 (wrong use).
+auto scaleMain(const ScaleFlags& f) -> int;
+
+}  // namespace dt
--- /dev/null
+++ b/tests/scale_test.cpp
@@ -0,0 +1,64 @@
+#include "scale.hpp"
+#include "test.hpp"
+
+namespace dt {
+
+static auto flags(Str nodes, Str servers) -> ScaleFlags {
+    auto f = ScaleFlags();
+    f.nodes = std::move(nodes);
+    f.servers = std::move(servers);
+    f.membership = "roster";
+    return f;
+}
+static auto why(const ScaleFlags& f) -> Str {
+    auto o = scaleParse(f);
+    return o ? "" : o.error().why;
+}
+
+TEST(Scale, sameSeedSameCounts) {
+    auto o = ScaleOptions();
+    auto a = scalePoint(o, {12, 8}), b = scalePoint(o, {12, 8});
+    CHECK(a.counts == b.counts);
+    CHECK(a.counts.at("readyUs") >= 0);
+    // Everything that was waited for came.
+    for (auto k : {"change.convergenceUs", "failureDetection.allUs", "restart.readyUs", "leaderLoss.allKnowLeaderUs",
+             "zoneLoss.allKnowLeaderUs", "regionPartition.recoveredUs"})
+        CPPUNIT_ASSERT_MESSAGE(k, a.counts.at(k) >= 0);
+    CHECK_EQ(std::int64_t(0), a.counts.at("refusedMessages"));
+    o.seed = 2;
+    CHECK(scalePoint(o, {12, 8}).counts != a.counts);
+}
+
+// Rows with echoes: a node's bytes grow as the square of the nodes, never beyond.
+TEST(Scale, rosterGrowsAsTheSquare) {
+    auto o = ScaleOptions();
+    o.faults = false;
+    auto a = scalePoint(o, {12, 8}), b = scalePoint(o, {24, 8});
+    CHECK(b.counts.at("all.bytesMean") < 5 * a.counts.at("all.bytesMean"));
+}
+
+TEST(Scale, wrongUse) {
+    CHECK_EQ(Str(""), why(flags("12,24", "27")));
+    CHECK_EQ(Str(""), why(flags("12,24", "27,54")));
+    for (auto n : {"5", "0", "-12", "many", "12,,24", "4097", "99999999999", "12.5", ","})
+        CHECK(why(flags(n, "27")).starts_with("--nodes: "));
+    for (auto n : {"0", "x", "4097", "1,2,3"}) CHECK(why(flags("12,24", n)).starts_with("--servers: "));
+    auto f = flags("12", "27");
+    f.membership = "rooster";
+    CHECK(why(f).starts_with("--membership: "));
+    f = flags("12", "27");
+    f.svg = "/nowhere/at/all.svg";
+    CHECK(why(f).starts_with("--svg: "));
+    f = flags("12", "27");
+    f.earlier = "/nowhere";
+    CHECK(why(f).starts_with("--earlier: "));
+    // What would take over half of the memory is refused before it begins.
+    f = flags("390", "870");
+    f.memory = std::int64_t(4) << 30;
+    CHECK(why(f).find("over half of this machine's 4096 MB") != Str::npos);
+    f.memory = std::int64_t(64) << 30;
+    CHECK_EQ(Str(""), why(f));
+    CHECK_EQ(2, scaleMain(flags("many", "27")));
+}
+
+}  // namespace dt
