--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -21,6 +21,7 @@
 #include <thrift/transport/TSocket.h>
 
 #include "Peer.h"
+#include "compress.hpp"
 #include "store.hpp"
 
 namespace dt {
@@ -55,7 +56,8 @@
 
 // One thread a peer: what is said to it goes out in order or not at all.
 struct Out {
-    Out(Str a, Counters& c, std::mutex& m) : addr(std::move(a)), ct(c), ctm(m), th([this] { run(); }) {}
+    Out(Str a, Counters& c, std::mutex& m, Compressor& z)
+        : addr(std::move(a)), ct(c), ctm(m), co(z), th([this] { run(); }) {}
     ~Out() {
         {
             auto l = std::lock_guard(mu);
@@ -107,7 +109,8 @@
                     tr->open();
                     socketSet(sock->getSocketFD(), SEC);
                 }
-                cl.tell(it.second);
+                auto z = compress ? co(it.second) : std::nullopt;
+                cl.tell(z ? *z : it.second);
                 said = bootNow();
             } catch (const std::exception&) {
                 try {
@@ -122,6 +125,8 @@
     Str addr;
     Counters& ct;
     std::mutex& ctm;
+    Compressor& co;
+    std::atomic<bool> compress = false;  // the peer reads compressed envelopes
     std::mutex mu;
     std::condition_variable cv;
     std::deque<std::pair<Us, wire::Envelope>> q;
@@ -170,8 +175,9 @@
         auto i = outs_.find(addr);
         if (i == outs_.end()) {
             if (outs_.size() >= 512) return;
-            i = outs_.emplace(addr, std::make_unique<Out>(addr, ct2_, ctm_)).first;
+            i = outs_.emplace(addr, std::make_unique<Out>(addr, ct2_, ctm_, compressor_)).first;
         }
+        i->second->compress = compressing_.count(addr) > 0;
         i->second->put(e);
     }
     auto disk(const DiskWrite& w) -> void override {
@@ -299,8 +305,15 @@
 
     // ---- peers
     auto tell(const wire::Envelope& e) -> void override {
+        auto z = e.__isset.compressed ? decompressed(e) : std::nullopt;
         auto l = std::lock_guard(mu_);
-        node->hear(e, bootNow());
+        if (e.__isset.compressed && !z) return ct_.add("peer_decompress_failed_total");
+        node->hear(z ? *z : e, bootNow());
+        auto k = node->rows().find(e.node);
+        if (k == node->rows().end()) return;
+        auto l2 = std::lock_guard(qmu_);
+        if (e.wire >= COMPRESSING) compressing_.insert(k->second.r.peer);
+        else compressing_.erase(k->second.r.peer);
     }
 
     auto run() -> int;
@@ -332,6 +345,8 @@
     std::unique_ptr<Node> node;
     std::unique_ptr<Edge> edge;
     std::map<Str, std::unique_ptr<Out>> outs_;
+    std::set<Str> compressing_;  // peers that read compressed envelopes
+    Compressor compressor_;
     std::deque<DiskWrite> dq_;
     Str book_;  // to be written; empty if nothing is
     std::condition_variable dcv_;
--- a/src/shared.hpp
+++ b/src/shared.hpp
@@ -23,7 +23,7 @@
 
 constexpr Us MS = 1000;
 constexpr Us SEC = 1000 * MS;
-constexpr std::int32_t WIRE = 1;
+constexpr std::int32_t WIRE = 2;  // 2: reads compressed envelopes
 constexpr auto VERSION = "0.1.0";
 
 /// Time since the machine started, counting time suspended.
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -75,7 +75,9 @@
   10: optional Grant grant,
   11: optional VoteAsk voteAsk, 12: optional VoteReply voteReply,
   13: optional AppendAsk appendAsk, 14: optional AppendReply appendReply,
-  15: optional SnapTell snapTell, 16: optional TakeOver takeOver
+  15: optional SnapTell snapTell, 16: optional TakeOver takeOver,
+  // This envelope whole, in the compact protocol and zlib's format; told to wire 2 and above.
+  17: optional binary compressed
 }
 
 service Peer { oneway void tell(1: Envelope e) }
