--- a/src/edge.hpp
+++ b/src/edge.hpp
@@ -260,6 +260,8 @@
         double held = 0, tokens = 0;  // smoothed: how long an exchange takes a server, and its own tokens
         double all = 0;               // exchanges of late, the older the less
         std::map<Str, double> bound;  // those of them that may only go to one region, by that region
+        std::int64_t loads = 0;
+        double others = 0;  // and how many of other nodes' a server holds
     };
     struct Purse {
         std::int64_t milli = 0;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -748,6 +748,8 @@
         if (now - s.told >= lim) {
             logf("server {} lapsed from the listing", i->first);
             ct_.add("listings_lapsed_total");
+            // Who holds an older listing does not know that it left: it is told the whole.
+            while (!lists_.empty() && lists_.front() < s.l.gen) lists_.pop_front();
             i = servers_.erase(i);
         } else ++i;
     }
@@ -1300,11 +1302,6 @@
     return tree_;
 }
 
-auto Node::learntDown(Us now) -> void {
-    downAt_ = now;
-    for (auto& k : treeNow(now).kids(me_.node)) learntBeat(k, false, false, now);
-}
-
 auto Node::learntSend(Us now) -> void {
     me_.beat++;
     ownVersion(now);
@@ -1318,7 +1315,6 @@
     auto to = std::set<Str>();
     for (auto& n : t.kids(me_.node)) to.insert(n);
     if (!p.empty()) to.insert(p);
-    downAt_ = now;
     for (auto& n : to) learntBeat(n, false, false, now);
     // Cores keep hearing of each other whatever the tree is: voters find each other's address so.
     if (vt_)
@@ -1366,7 +1362,6 @@
         learntBeat(e.node, false, false, now);
     }
     if (news) nextBeat_ = now;
-    else if (e.node == parent_) learntDown(now);
 }
 
 auto Node::learntRows(const wire::Beat& b, const Str& from, Us now) -> void {
@@ -1540,13 +1535,17 @@
 
 auto Node::duty(Us now) const -> bool {
     if (vt_ && vt_->leads()) return now - vt_->quorumAt() < SEC;
-    if (word_.gen == 0 || !leaderNode(now).empty() || now - leaderAt_ < 2 * SEC) return false;
+    // After a start of all at once there is no leader yet, and nobody has a listing: the root of what is
+    // known by then doesn't wait for the election.
+    auto wait = led1_ ? 2 * SEC : 200 * MS;
+    if (!leaderNode(now).empty() || !leaderAt_ || now - leaderAt_ < wait) return false;
     return tree(now).up.count(me_.node) == 0;
 }
 
 auto Node::learntTick(Us now, bool look) -> void {
     if (look) led_ = leaderNode(now);
     if (!led_.empty() || !leaderAt_) leaderAt_ = now;
+    led1_ = led1_ || !led_.empty();
     me_.settled = word_.gen > 0;
     // What the others must know at once: that this one leads, or does no more.
     if (vt_ && vt_->leads() != said_.leader) nextBeat_ = now;
