--- a/src/node.cpp
+++ b/src/node.cpp
@@ -729,6 +729,9 @@
     touchMe(now);
     if (now >= nextBeat_) {
         nextBeat_ = now + beat_;
+        // One that has just started and found nobody yet asks again soon.
+        if (st_.learnt && now - started_ < 3 * SEC && aliveNodes(now).size() < 2)
+            nextBeat_ = now + beat_ / 5;
         if (st_.learnt) learntSend(now);
         else sendBeat(now, true);
     }
@@ -1535,8 +1538,9 @@
 
 auto Node::duty(Us now) const -> bool {
     if (vt_ && vt_->leads()) return now - vt_->quorumAt() < SEC;
-    // After a start of all at once there is no leader yet, and nobody has a listing: the root of what is
-    // known by then doesn't wait for the election.
+    // After a start of all at once there is no leader yet, and nobody has a listing: each core that has
+    // none asks for it, and the root of what is known by then doesn't wait for the election.
+    if (vt_ && !led1_ && listNo_ == 0 && leaderNode(now).empty()) return true;
     auto wait = led1_ ? 2 * SEC : 200 * MS;
     if (!leaderNode(now).empty() || !leaderAt_ || now - leaderAt_ < wait) return false;
     return tree(now).up.count(me_.node) == 0;
