--- a/scripts/check-tree.sh
+++ b/scripts/check-tree.sh
@@ -3,7 +3,9 @@
 # - no file holds a merge conflict's markers;
 # - no source is longer than LINE_LIMIT, but for those in scripts/long-files.txt, which may only
 #   shrink: the list states each one's present size, and nothing that is within the limit;
-# - the platform's names stand in platform/ and in the tests of it only.
+# - the platform's names stand in platform/ and in the tests of it only;
+# - no source of the product names a deployment, region, zone, service or route of a user: what the product
+#   decides must follow from what it observes, wherever it runs.
 set -eu
 cd "$(git rev-parse --show-toplevel)"
 
@@ -11,6 +13,9 @@
 readonly LONG_FILES=scripts/long-files.txt
 readonly PLATFORM_NAMES='X-Target-Instance|X-Server-Seal|X-Attempt-Id|X-Instance-|X-Weight-Versions|X-Request-Urgency|X-Cold-Remaining-Ms|X-Prompt-Prefix|X-Token-Counts|X-Deadline-Ms|DUNETURN_CONFIG|PlatformApi|ConfigVersion|QuorumMember|InternalPorts|SeedAddrs'
 
+# Of the deployments that the product is measured on, in examples/ or outside this repository.
+readonly DEPLOYMENT_NAMES='sahel|sra-duneturn|lmwsa|k(ue|ü)hlwacht|[a-z]{2,3}-hall|punjab|sindh|bayern|rhein-main|tunis-north|sfax-south|cell-classify|urdu-advisory|tile-fetch|tile-map|excursion-report|dock-chat|probe-beat|telemetry-intake|timetable-rebuild|roster-check|crew-brief|slot-lookup|slot-desk|duneturn-(desk|pool|planners)'
+
 faults=0
 fault() {
   echo "check-tree: $*" >&2
@@ -58,9 +63,16 @@
   [ -z "$found" ] || fault "the platform's names outside platform/:"$'\n'"$found"
 }
 
+check_deployment_names() {
+  local found
+  found=$(git grep -nIiE "$DEPLOYMENT_NAMES" -- src platform thrift || true)
+  [ -z "$found" ] || fault "names of a user's deployment:"$'\n'"$found"
+}
+
 check_conflict_markers
 check_sizes
 check_listed_files_exist
 check_platform_names
+check_deployment_names
 [ $faults -eq 0 ] || exit 1
 echo "check-tree: clean"
--- a/src/routing/dispatch.cpp
+++ b/src/routing/dispatch.cpp
@@ -131,10 +131,12 @@
     apply(*request, AttemptEvent::WriteStarted);
     attempts.sentUnrepeatable = attempts.sentUnrepeatable || !request->route.mayRunAgain();
     attempts.onReusedConnection = reused;
-    attempts.lastActivityAt = now;
+    attempts.lastActivityAt = attempts.sentAt = now;
     auto& statistics = statistics_.of(attempts.server);
+    auto& listing = node_.servers().at(attempts.server).listing;
+    if (!reused) statistics_.regionLatency().recordConnect(listing.region, now - attempts.chosenAt);
     if (statistics.unansweredSince <= statistics.lastReceivedAt) statistics.unansweredSince = now;
-    attempts.weights = node_.servers().at(attempts.server).listing.weights;
+    attempts.weights = listing.weights;
     note(*request,
         fmt::format(
             "+{} us send {} to {}", now - request->received.acceptedAt, attempts.sent, attempts.server));
--- a/tests/checks.sh
+++ b/tests/checks.sh
@@ -132,6 +132,17 @@
   done
 }
 
+test_deployment_names() {
+  local place
+  for place in src/names.cpp platform/names.cpp thrift/names.thrift; do
+    good_tree
+    mkdir -p thrift
+    printf '// The zone Mtn-hall has more servers.\n' >"$place"
+    track
+    fails "a name of a deployment in $place" "$place:1" scripts/check-tree.sh
+  done
+}
+
 # A list of withdrawn words: two of them, one other meaning, no words left, and the given lines.
 word_list() {
   printf 'word reigns? -> epoch\nword pool -> service\nallow thread pool\n' >scripts/withdrawn-words.txt
@@ -348,6 +359,7 @@
 test_conflict_markers
 test_file_sizes
 test_platform_names
+test_deployment_names
 test_withdrawn_words
 test_docs
 test_layers
