--- a/src/membership/gossip_membership.hpp
+++ b/src/membership/gossip_membership.hpp
@@ -69,7 +69,6 @@
 
     // Sending.
     auto raiseOwnVersion(Microseconds now) -> void;
-    [[nodiscard]] auto isDemandDue(Microseconds now) const -> bool;
     auto followParent(Microseconds now) -> std::string;
     auto sendTo(const std::string& name, Extent extent, Microseconds now) -> void;
     auto sendToVoters(const std::set<std::string>& alreadySent, Microseconds now) -> void;
@@ -106,7 +105,6 @@
     std::map<std::string, std::set<std::string>> missingRecords_;
     wire::NodeRecord sentOwnRecord_;       // as of its last version
     Microseconds sentClockOffset_ = 0;     // calendar time less process time, as of that version
-    Microseconds demandSentAt_ = 0;        // with the newest version of this node's record
     std::string parent_, leader_;          // as last looked up; empty if there is none
     Microseconds parentSince_ = 0;         // when `parent_` became the parent
     Microseconds nextStateRequestAt_ = 0;  // 0: no gap in the news is known
--- a/src/membership/gossip_sending.cpp
+++ b/src/membership/gossip_sending.cpp
@@ -15,8 +15,6 @@
 
 static constexpr Microseconds RESEND_ALL_INTERVAL = 15 * SECOND;  // what was sent may have been lost
 static constexpr Microseconds CLOCK_TOLERANCE = 1 * SECOND;  // a smaller shift of the calendar is no news
-static constexpr Microseconds DEMAND_INTERVAL = 5 * SECOND;  // a demand is at most so old
-static constexpr Microseconds DEMAND_LEAST_INTERVAL = SECOND / 2;  // between two versions for demand's sake
 static constexpr int LISTING_RETRY_HEARTBEATS = 3;    // a listing that is not confirmed by then is sent again
 static constexpr int NEIGHBOUR_KEPT_HEARTBEATS = 10;  // since something was last sent to it
 
@@ -32,23 +30,6 @@
     return std::abs(value - sent) * 4 > std::abs(sent) + 4;
 }
 
-// The requests a second of all services, in thousandths.
-static auto totalDemand(const wire::NodeRecord& record) -> std::int64_t {
-    auto total = std::int64_t(0);
-    for (auto& demand : record.demand)
-        for (auto requests : demand.milliRequests) total += requests;
-    return total;
-}
-
-// A new demand is worth a new version at once if it differs much, else when the one sent has grown old.
-auto GossipMembership::isDemandDue(Microseconds now) const -> bool {
-    auto& own = context_.members.own();
-    if (own.demand == sentOwnRecord_.demand) return false;
-    auto age = now - demandSentAt_;
-    if (age >= DEMAND_INTERVAL) return true;
-    return age >= DEMAND_LEAST_INTERVAL && differsMuch(totalDemand(own), totalDemand(sentOwnRecord_));
-}
-
 auto GossipMembership::raiseOwnVersion(Microseconds now) -> void {
     refreshOwnRecord();
     auto& own = context_.members.own();
@@ -56,10 +37,8 @@
     auto clockOffset = context_.wall - now;
     if (own.version && actedOn(own) == actedOn(sentOwnRecord_)
         && std::abs(clockOffset - sentClockOffset_) < CLOCK_TOLERANCE
-        && !differsMuch(own.credit, sentOwnRecord_.credit) && !differsMuch(own.want, sentOwnRecord_.want)
-        && !isDemandDue(now))
+        && !differsMuch(own.credit, sentOwnRecord_.credit) && !differsMuch(own.want, sentOwnRecord_.want))
         return;
-    demandSentAt_ = now;
     own.version++;
     if (own.leader != sentOwnRecord_.leader) {
         leader_ = context_.members.leaderNode(now);
--- a/src/membership/node.hpp
+++ b/src/membership/node.hpp
@@ -115,8 +115,6 @@
     auto grantCredit(const std::string& node, std::int64_t credit, Microseconds now) -> void;
     /// This node's retry budget and its want of more, for its record.
     auto setCredit(std::int64_t credit, std::int64_t want) -> void;
-    /// What this node's clients ask of services, for its record.
-    auto setDemand(std::vector<wire::ServiceDemand> demand) -> void;
     /// A grant that another node gave to this one, taken once.
     std::function<void(std::int64_t)> onGrant;
     std::function<void()> onStateChange;
--- a/src/membership/node_messages.cpp
+++ b/src/membership/node_messages.cpp
@@ -195,10 +195,6 @@
     if (onGrant) onGrant(grant.credit);
 }
 
-auto Node::setDemand(std::vector<wire::ServiceDemand> demand) -> void {
-    context_.members.own().__set_demand(demand);
-}
-
 auto Node::setCredit(std::int64_t credit, std::int64_t want) -> void {
     context_.members.own().credit = credit;
     context_.members.own().want = want;
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -54,9 +54,7 @@
                 request.relayed.lastEventId, request.relayed.weights)
                                    : ""));
     counters_.add("accepted_total");
-    if (dialect_.clientNamesRequests)
-        statistics_.ofService(request.route.service)
-            .demand.recordRequest(request.route.boundRegion(), request.received.sizeTokens(), now);
+    if (dialect_.clientNamesRequests) selection_.recordClaim(request);
     // Nobody goes ahead of those who wait for the same servers with no less urgency.
     if (backlog_.isEmpty(request.route.service) && dispatch(request, now)) return request.id;
     if (request.phase() != Phase::Finished && !enqueue(request, now))
--- a/src/routing/completion.cpp
+++ b/src/routing/completion.cpp
@@ -72,12 +72,8 @@
 // What every end has in common, whatever the client was sent.
 auto Edge::finish(Request& request, const std::string& how, Microseconds now) -> void {
     auto& attempts = request.attempts;
-    if (attempts.countedInflight && attempts.tracker.written()) {
-        auto& service = statistics_.ofService(request.route.service);
-        auto taken = now - attempts.chosenAt;
-        service.recordHoldTime(taken);
-        service.demand.recordHold(request.route.boundRegion(), request.received.sizeTokens(), taken);
-    }
+    if (attempts.countedInflight && attempts.tracker.written())
+        statistics_.ofService(request.route.service).recordHoldTime(now - attempts.chosenAt);
     release(request);
     backlog_.leave(request);
     turn(request, counters_, PhaseEvent::End);
--- a/src/routing/dispatch.cpp
+++ b/src/routing/dispatch.cpp
@@ -131,12 +131,10 @@
     apply(*request, AttemptEvent::WriteStarted);
     attempts.sentUnrepeatable = attempts.sentUnrepeatable || !request->route.mayRunAgain();
     attempts.onReusedConnection = reused;
-    attempts.lastActivityAt = attempts.sentAt = now;
+    attempts.lastActivityAt = now;
     auto& statistics = statistics_.of(attempts.server);
-    auto& listing = node_.servers().at(attempts.server).listing;
-    if (!reused) statistics_.regionLatency().recordConnect(listing.region, now - attempts.chosenAt);
     if (statistics.unansweredSince <= statistics.lastReceivedAt) statistics.unansweredSince = now;
-    attempts.weights = listing.weights;
+    attempts.weights = node_.servers().at(attempts.server).listing.weights;
     note(*request,
         fmt::format(
             "+{} us send {} to {}", now - request->received.acceptedAt, attempts.sent, attempts.server));
--- a/src/routing/edge.cpp
+++ b/src/routing/edge.cpp
@@ -25,8 +25,7 @@
       slowStart_(node, routes_, statistics_, fleet_, broken),
       budget_(routes_, dialect_, fleet_, counters, broken),
       backlog_(requests_, node, routes_, dialect_, statistics_, fleet_, broken),
-      partitions_(node, routes_, dialect_, statistics_),
-      selection_({node, routes_, dialect_, fleet_, broken, partitions_, statistics_, slowStart_, random_}),
+      selection_({node, routes_, dialect_, fleet_, broken, statistics_, slowStart_, random_}),
       migration_(routes_, dialect_, statistics_, broken) {
     node_.onStateChange = [this] { takeState(); };
     node_.onGrant = [this](std::int64_t credit) { budget_.receiveGrant(credit); };
@@ -78,7 +77,6 @@
     fleet_.tick(now);
     if (evacuatedAt_ < 0) evacuatedAt_ = now;
     slowStart_.tick(now);
-    partitions_.tick(now);
     if (dialect_.clientNamesRequests && now - prunedAt_ > PRUNE_INTERVAL) {
         prunedAt_ = now;
         statistics_.forgetUnlisted();
--- a/src/routing/edge.hpp
+++ b/src/routing/edge.hpp
@@ -39,7 +39,6 @@
 #include "routing/route_table.hpp"
 #include "routing/server_selection.hpp"
 #include "routing/server_statistics.hpp"
-#include "routing/service_partitions.hpp"
 #include "routing/slow_start.hpp"
 #include "net/event_stream.hpp"
 
@@ -178,7 +177,6 @@
     auto headRead(Request& request, int status, const Headers& headers) -> void;
     auto judgeFirstByteTime(const Request& request, int status, const Headers& headers, Microseconds now)
         -> void;
-    auto learnServiceCurve(const Request& request, Microseconds now) -> void;
     auto sendHeadOnce(Request& request) -> void;
     [[nodiscard]] auto judgeEvent(RelayedStream& relayed, const ServerSentEvent& event) const -> EventVerdict;
     [[nodiscard]] auto judgeRisingEvent(RelayedStream& relayed, const ServerSentEvent& event) const
@@ -220,7 +218,6 @@
     SlowStart slowStart_;
     RetryBudget budget_;
     Backlog backlog_;
-    ServicePartitions partitions_;
     ServerSelection selection_;
     Migration migration_;
     KnownBeginnings beginnings_;
--- a/src/routing/request.hpp
+++ b/src/routing/request.hpp
@@ -12,7 +12,6 @@
 #include "routing/attempt_state.hpp"
 #include "routing/headers.hpp"
 #include "routing/route_table.hpp"
-#include "routing/tuning.hpp"
 
 namespace duneturn {
 
@@ -32,11 +31,6 @@
     std::vector<std::pair<std::uint64_t, std::int64_t>> promptParts;
     std::uint64_t prefixKey = 0;  ///< Of the prompt's shared beginning; 0: none is known.
     std::int64_t promptTokens = 0, outputTokens = 0, sharedTokens = 0;
-    /// The length by which it counts as long or short: of its shared beginning if that is long itself, so
-    /// that all requests with one beginning go the same way, else of the prompt.
-    [[nodiscard]] auto sizeTokens() const -> std::int64_t {
-        return sharedTokens >= LONG_PREFIX_TOKENS ? sharedTokens : promptTokens;
-    }
     /// The tokens that only this request needs.
     [[nodiscard]] auto ownTokens() const -> std::int64_t {
         return std::max<std::int64_t>(0, promptTokens - sharedTokens) + outputTokens;
@@ -48,7 +42,6 @@
     int current = 0;  ///< The present attempt's number; what names another is ignored.
     std::string server, weights;
     Microseconds chosenAt = 0;          ///< When its server was chosen.
-    Microseconds sentAt = 0;            ///< When its first byte was written.
     Microseconds lastActivityAt = 0;    ///< When its server last sent something, or begun to be written to.
     Microseconds nextStallCheckAt = 0;  ///< Until then its silence is not looked at again.
     bool countedInflight = false;       ///< It counts among its server's attempts under way.
--- a/src/routing/response_relay.cpp
+++ b/src/routing/response_relay.cpp
@@ -75,23 +75,12 @@
     auto& statistics = statistics_.of(request.attempts.server);
     auto taken = now - request.attempts.chosenAt;
     statistics.recordFirstByte(taken);
-    if (!isNotExecuted(status, headers)) learnServiceCurve(request, now);
     if (taken <= SLOW_FIRST_BYTE || isNotExecuted(status, headers)) return;
     auto median = statistics_.median(request.route.service, &ServerStatistics::firstByteTime);
     if (median > 0 && statistics.firstByteTime > SLOW_FACTOR * median)
         statistics.ejection.lowerFitness(SLOW, now);
 }
 
-// What an answer shows of its service's engines, once the way there and back is left out.
-auto Edge::learnServiceCurve(const Request& request, Microseconds now) -> void {
-    auto rule = serviceRule(request);
-    auto server = node_.servers().find(request.attempts.server);
-    if (!rule || !rule->isEngine || server == node_.servers().end()) return;
-    auto roundTrip = statistics_.regionLatency().roundTrip(server->second.listing.region);
-    auto taken = now - request.attempts.sentAt - Microseconds(roundTrip);
-    statistics_.ofService(request.route.service).curve.recordFirstByte(request.received.sizeTokens(), taken);
-}
-
 auto Edge::onResponseHead(std::int64_t id, int attempt, int status, const Headers& headers, Microseconds now)
     -> bool {
     auto request = currentAttempt(id, attempt);
--- a/src/routing/route_table.hpp
+++ b/src/routing/route_table.hpp
@@ -84,8 +84,6 @@
     std::vector<SelectionStep> steps;
     /// Whether a request may run again though it may have run.
     [[nodiscard]] auto mayRunAgain() const -> bool { return stream ? resumable : repeatable; }
-    /// The only region whose servers may be used; empty: there are several, or it depends on the client.
-    [[nodiscard]] auto boundRegion() const -> std::string { return homes.size() == 1 ? homes[0] : ""; }
 };
 
 /// The routes of one configuration, with the figures that hold for all of them.
--- a/src/routing/server_selection.cpp
+++ b/src/routing/server_selection.cpp
@@ -20,7 +20,7 @@
 constexpr auto CACHE_HOMES = std::size_t(2);    // servers that rendezvous hashing names for a beginning
 constexpr auto HOME_OCCUPANCY_MARGIN = 0.4;     // how much fuller than the least occupied one it may be
 constexpr auto REGION_OCCUPANCY_MARGIN = 0.4;   // how much fuller the client's region may be than others
-constexpr auto GROUP_OCCUPANCY = 0.8;           // up to which a request keeps to the servers of its size
+constexpr auto UNCLAIMED_OCCUPANCY = 0.6;       // up to which an unclaimed region is preferred
 constexpr auto DRAWN_BY_ALL = std::size_t(12);  // servers that all nodes together compare for a request
 constexpr auto NONE = 1e18;                     // the best of no candidates
 
@@ -182,11 +182,18 @@
     // The client's region, unless others are much less occupied or would answer in time where it does not.
     auto preferRegionByLoad() -> void {
         keepByRule(fmt::format("regions for {}", request_.received.region), SelectionStage::Near);
-        if (isLongPrompt()) return;  // read by servers of any region, see preferServersOfSize
         auto occupancy = [](auto& candidate) { return candidate.occupancy; };
         auto firstByte = [&](auto& candidate) { return predict(candidate, PrefixAssumption::AsRecorded); };
         auto near = bestOf(true, occupancy), others = bestOf(false, occupancy);
         if (near >= NONE || others >= NONE) return;
+        if (auto region = unclaimedRegion(); !region.empty() && region != request_.received.region) {
+            auto isThere = [&](auto& candidate) {
+                return candidate.server->listing.region == region
+                    && candidate.occupancy < UNCLAIMED_OCCUPANCY;
+            };
+            if (std::any_of(candidates_.begin(), candidates_.end(), isThere))
+                return keep("unclaimed " + region, isThere);
+        }
         auto isOverloaded = near > others + REGION_OCCUPANCY_MARGIN;
         if (!isOverloaded && route_.firstByteTarget) {
             auto nearTime = bestOf(true, firstByte);
@@ -204,18 +211,25 @@
         return best;
     }
 
-    auto isLongPrompt() const -> bool {
-        return inputs_.partitions.isLong(route_.service, request_.received.sizeTokens());
-    }
-    // Reading a long prompt holds up all that waits behind it, so long and short ones have servers of their
-    // own; see size_partition.hpp.
-    auto preferServersOfSize() -> void {
-        if (!inputs_.partitions.isDivided(route_.service)) return;
-        auto isLong = isLongPrompt();
-        prefer(isLong ? "for long prompts" : "for short prompts", [&](auto& candidate) {
-            return inputs_.partitions.readsLongPrompts(route_.service, *candidate.name) == isLong
-                && candidate.occupancy < GROUP_OCCUPANCY;
-        });
+    // Reading a long prompt holds up all that runs beside it. Where many requests can only go to the
+    // client's region and clearly fewer to another, long prompts that may go anywhere are read there. Every
+    // node sees much the same kinds, so that all choose the same region. Empty: the client's will do.
+    auto unclaimedRegion() -> std::string {
+        auto& near = request_.received.region;
+        if (request_.received.sharedTokens < LONG_PREFIX_TOKENS || route_.homes.size() == 1) return "";
+        auto servers = std::map<std::string, int>();
+        for (auto& candidate : candidates_) servers[candidate.server->listing.region]++;
+        if (!servers.count(near) || servers.size() < 2) return "";
+        auto& service = inputs_.statistics.ofService(route_.service);
+        auto claimsPerServer = [&](const std::string& region) {
+            auto bound = service.boundByRegion.find(region);
+            return bound == service.boundByRegion.end() ? 0.0 : bound->second / servers[region];
+        };
+        auto least = near;
+        for (auto& [region, count] : servers)
+            if (claimsPerServer(region) < claimsPerServer(least)) least = region;
+        auto isClaimed = claimsPerServer(near) * servers[near] > 0.2 * service.recentRequests;
+        return isClaimed && claimsPerServer(least) < 0.5 * claimsPerServer(near) ? least : "";
     }
 
     struct Picked {
@@ -224,7 +238,6 @@
     };
 
     auto pick(bool byPrefix) -> void {
-        if (rule_ && rule_->isEngine) preferServersOfSize();
         auto picked = rule_ ? pickByPrediction() : pickByOccupancy(byPrefix);
         auto& candidate = candidates_[picked.index];
         selection_.server = *candidate.name;
@@ -347,4 +360,9 @@
     });
 }
 
+auto ServerSelection::recordClaim(const Request& request) -> void {
+    auto& homes = request.route.homes;
+    inputs_.statistics.ofService(request.route.service).recordRequest(homes.size() == 1 ? homes[0] : "");
+}
+
 }  // namespace duneturn
--- a/src/routing/server_selection.hpp
+++ b/src/routing/server_selection.hpp
@@ -11,7 +11,6 @@
 #include "routing/request.hpp"
 #include "routing/route_table.hpp"
 #include "routing/server_statistics.hpp"
-#include "routing/service_partitions.hpp"
 #include "routing/slow_start.hpp"
 
 namespace duneturn {
@@ -23,7 +22,6 @@
     const Dialect& dialect;
     const FleetSize& fleet;
     const EdgeFaults& faults;
-    const ServicePartitions& partitions;
     ServerStatisticsTable& statistics;
     SlowStart& slowStart;
     RandomSource& random;
@@ -46,6 +44,8 @@
     [[nodiscard]] auto allows(const Request& request, const KnownServer& server) const -> bool;
     /// Whether there is a server that may take the request once it has room.
     [[nodiscard]] auto mayFindServerLater(const Request& request) const -> bool;
+    /// A request that may only go to one region claims that region's servers; see unclaimedRegion.
+    auto recordClaim(const Request& request) -> void;
 
   private:
     SelectionInputs inputs_;
--- a/src/routing/server_statistics.cpp
+++ b/src/routing/server_statistics.cpp
@@ -18,6 +18,8 @@
 constexpr auto EVENT_GAP_SMOOTHING = Smoothing{0.9, 0.1};
 constexpr auto HOLD_TIME_SMOOTHING = Smoothing{0.95, 0.05};
 constexpr auto OWN_TOKENS_SMOOTHING = Smoothing{0.98, 0.02};
+// What is left of the weight of earlier requests with each new one: some hundreds of them count.
+constexpr auto RECENT_REQUESTS_DECAY = 0.995;
 constexpr auto MOST_REPORTED = std::int64_t(1 << 20);  // a server's number beyond it is believed no further
 constexpr auto MOST_COLD_MS = std::int64_t(3600000);   // an hour
 
@@ -44,6 +46,12 @@
     ownTokens = OWN_TOKENS_SMOOTHING.next(ownTokens, double(tokens));
 }
 
+auto ServiceStatistics::recordRequest(const std::string& region) -> void {
+    recentRequests = recentRequests * RECENT_REQUESTS_DECAY + 1;
+    for (auto& [name, requests] : boundByRegion) requests *= RECENT_REQUESTS_DECAY;
+    if (!region.empty()) boundByRegion[region] += 1;
+}
+
 auto ServiceStatistics::recordRequestsOfOthers(double requests) -> void {
     requestsOfOthers += (loadReports++ ? 0.05 : 1) * (requests - requestsOfOthers);
 }
--- a/src/routing/server_statistics.hpp
+++ b/src/routing/server_statistics.hpp
@@ -11,8 +11,6 @@
 #include "routing/headers.hpp"
 #include "routing/outlier_ejection.hpp"
 #include "routing/prefix_cache.hpp"
-#include "routing/prompt_demand.hpp"
-#include "routing/service_curve.hpp"
 #include "routing/route_table.hpp"
 
 namespace duneturn {
@@ -60,15 +58,17 @@
 
 /// Figures of one service's requests, as this node sees them.
 struct ServiceStatistics {
-    double holdTime = 0;   ///< Smoothed: how long a request takes a server, in microseconds.
-    double ownTokens = 0;  ///< Smoothed: the tokens that only one request needs.
-    PromptDemand demand;   ///< Of late.
-    ServiceCurve curve;
+    double holdTime = 0;        ///< Smoothed: how long a request takes a server, in microseconds.
+    double ownTokens = 0;       ///< Smoothed: the tokens that only one request needs.
+    double recentRequests = 0;  ///< Requests of late; older ones count less and less.
+    std::map<std::string, double> boundByRegion;  ///< Those of them that only one region may serve.
     std::int64_t loadReports = 0;
     double requestsOfOthers = 0;  ///< Smoothed: what a server holds of other nodes' requests.
 
     auto recordHoldTime(Microseconds taken) -> void;
     auto recordOwnTokens(std::int64_t tokens) -> void;
+    /// A request was accepted that only `region` may serve; empty: that several may.
+    auto recordRequest(const std::string& region) -> void;
     auto recordRequestsOfOthers(double requests) -> void;
 };
 
@@ -81,11 +81,6 @@
     auto of(const std::string& server) -> ServerStatistics& { return servers_[server]; }
     [[nodiscard]] auto find(const std::string& server) const -> const ServerStatistics*;
     auto ofService(const std::string& service) -> ServiceStatistics& { return services_[service]; }
-    [[nodiscard]] auto services() const -> const std::map<std::string, ServiceStatistics>& {
-        return services_;
-    }
-
-    auto regionLatency() -> RegionLatency& { return regionLatency_; }
 
     /// Requests that a server holds by the load reports that nodes send each other, ours since then included.
     [[nodiscard]] auto reportedLoad(const std::string& name, const KnownServer& server) -> double;
@@ -112,7 +107,6 @@
     const Node& node_;
     std::map<std::string, ServerStatistics> servers_;
     std::map<std::string, ServiceStatistics> services_;
-    RegionLatency regionLatency_;
 };
 
 }  // namespace duneturn
--- a/tests/routing/edge_fixture.hpp
+++ b/tests/routing/edge_fixture.hpp
@@ -3,7 +3,6 @@
 // end with their message.
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -66,8 +65,6 @@
     std::int64_t revision = 0, requestCount = 0, heartbeat = 0;
     std::string region = "near";
     int others = 0;
-    /// What another node tells of its clients; none: it tells nothing.
-    std::function<std::vector<wire::ServiceDemand>(const std::string&)> demandOf;
 
     explicit EdgeFixture(const std::string& name = "a", int otherNodes = 0, std::uint64_t seed = 2)
         : others(otherNodes) {
@@ -111,8 +108,6 @@
                 w.node = fmt::format("n{}", i);
                 if (w.node == settings.node) continue;
                 w.boot = 5, w.heartbeat = heartbeat, w.peer = fmt::format("127.0.0.2:{}", 100 + i);
-                w.region = region;
-                if (demandOf) w.__set_demand(demandOf(w.node));
                 b.records.push_back(w);
             }
             v.__set_heartbeat(b);
--- a/tests/routing/edge_fleet.hpp
+++ b/tests/routing/edge_fleet.hpp
@@ -24,17 +24,8 @@
             CHECK_EQ(200, rig->orderConfig(config));
             rig->listServers(servers);
         }
-        for (auto& rig : edges) rig->demandOf = [this](auto& node) { return demandOf(node); };
         for (auto& rig : edges) rig->runFor(4 * SECOND), seen.push_back(rig->sends.size());
     }
-    EdgeFleet(const EdgeFleet&) = delete;
-    auto operator=(const EdgeFleet&) -> EdgeFleet& = delete;
-    /// What an edge tells the others of its clients, as the nodes of a real fleet do.
-    auto demandOf(const std::string& node) const -> std::vector<wire::ServiceDemand> {
-        for (auto& rig : edges)
-            if (rig->settings.node == node) return rig->node->ownRecord().demand;
-        return {};
-    }
     auto now() const -> Microseconds { return edges[0]->now; }
     /// What edge `i` began since it was last asked.
     auto newSends(std::size_t i) -> std::vector<StartedAttempt> {
--- a/tests/routing/server_selection_test.cpp
+++ b/tests/routing/server_selection_test.cpp
@@ -5,7 +5,6 @@
 #include <deque>
 #include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include <fmt/format.h>
@@ -73,113 +72,93 @@
 
 // 32 shared beginnings of 13,300 tokens over eleven engines with memory for 319,818 tokens: all
 // edges send one to the same server, no server is named for too many, and each is read once.
-struct CacheHomes {
-    int longPrompts = 0;
-    int reads = 0, readsAtFirst = 0;  // of beginnings that the server's cache did not hold
-    std::size_t mostAtOneServer = 0;  // beginnings
-};
-auto playCacheHomes(bool random) -> CacheHomes {
-    auto g = RandomSource{51};
-    auto ls = std::vector<EdgeFixture::ListedServer>();
-    for (auto i = 0; i < 11; i++) ls.push_back({fmt::format("i-{}", i), "near", "p", "z", 64});
-    auto f = EdgeFleet(12,
-        R"({"budget":{"slack":64},"pools":{"p":{"engine":true,"kvTokens":319818,"stride":6}},"mappings":[
+TEST(EdgePlatform, cacheHomes) {
+    for (auto random : {false, true}) {
+        auto g = RandomSource{51};
+        auto ls = std::vector<EdgeFixture::ListedServer>();
+        for (auto i = 0; i < 11; i++) ls.push_back({fmt::format("i-{}", i), "near", "p", "z", 64});
+        auto f = EdgeFleet(12,
+            R"({"budget":{"slack":64},"pools":{"p":{"engine":true,"kvTokens":319818,"stride":6}},"mappings":[
              {"name":"a","path":"/a/*","pool":"p","aimUs":1000000,"stream":true},
              {"name":"b","path":"/b/*","pool":"p","aimUs":800000,"stream":true}]})",
-        ls);
-    auto caches = std::map<std::string, std::map<int, Microseconds>>();
-    auto running = std::map<std::string, int>();
-    auto reads = 0, longs = 0, readsAtFirst = 0;
-    struct Run {
-        Microseconds till;
-        std::size_t e;
-        std::int64_t x;
-        std::string server, load;
-        Microseconds headAt;  // the answer begins when the prompt has been read
-        bool begun;
-    };
-    auto runs = std::deque<Run>();
-    for (auto t = 0; t < 3600; t++) {  // 72 seconds
-        // By then the demand is known. Until then each beginning may be read twice: once before the
-        // servers are divided by the length of prompts, and once by those that read long ones.
-        if (t == 600) {
-            readsAtFirst = std::exchange(reads, 0);
-            caches.clear();
-        }
-        for (auto i = std::size_t(0); i < f.edges.size(); i++) {
-            auto& rig = *f.edges[i];
-            rig.edge->broken.pickRandom = random;
-            if (g.chance(8.47 / 50 / 12)) {
-                auto p = int(g.below(32));
-                auto own = rig.requestCount;
-                rig.sendRequest("/a/x",
-                    {{"X-Tokens", "17020,120"},
-                        {"X-Parts", fmt::format("{:x}:13300,{:x}:3720", p, 1000 + i * 100000 + own)}});
-            }
-            if (g.chance(224. / 50 / 12))
-                rig.sendRequest("/b/x",
-                    {{"X-Tokens", "383,48"},
-                        {"X-Parts",
-                            fmt::format(
-                                "{:x}:92,{:x}:291", 500 + g.below(20), 99000000 + rig.requestCount)}});
-            for (auto& s : f.newSends(i)) {
-                CHECK(rig.edge->beforeFirstByte(s.request, s.attempt, rig.now));
-                auto e = rig.edge->find(s.request);
-                auto p = e->received.promptParts.size() > 1 && e->received.sharedTokens > 1000
-                    ? headerOf(e->received.headers, "X-Parts")
-                    : std::string();
-                auto& c = caches[s.server];
-                auto load = fmt::format("{},0,64", ++running[s.server]);
-                auto lat = 300 * MILLISECOND;
-                if (!p.empty()) {
-                    longs++;
-                    auto id = std::stoi(p, nullptr, 16);
-                    if (!c.count(id)) {
-                        reads++;
-                        lat += 200 * MILLISECOND;
-                        if (c.size() >= 20)
-                            c.erase(std::min_element(
-                                c.begin(), c.end(), [](auto& a, auto& b) { return a.second < b.second; }));
+            ls);
+        auto caches = std::map<std::string, std::map<int, Microseconds>>();
+        auto running = std::map<std::string, int>();
+        auto reads = 0, longs = 0;
+        struct Run {
+            Microseconds till;
+            std::size_t e;
+            std::int64_t x;
+            std::string server;
+        };
+        auto runs = std::deque<Run>();
+        for (auto t = 0; t < 3000; t++) {  // a minute
+            for (auto i = std::size_t(0); i < f.edges.size(); i++) {
+                auto& rig = *f.edges[i];
+                rig.edge->broken.pickRandom = random;
+                if (g.chance(8.47 / 50 / 12)) {
+                    auto p = int(g.below(32));
+                    auto own = rig.requestCount;
+                    rig.sendRequest("/a/x",
+                        {{"X-Tokens", "17020,120"},
+                            {"X-Parts", fmt::format("{:x}:13300,{:x}:3720", p, 1000 + i * 100000 + own)}});
+                }
+                if (g.chance(224. / 50 / 12))
+                    rig.sendRequest("/b/x",
+                        {{"X-Tokens", "383,48"},
+                            {"X-Parts",
+                                fmt::format(
+                                    "{:x}:92,{:x}:291", 500 + g.below(20), 99000000 + rig.requestCount)}});
+                for (auto& s : f.newSends(i)) {
+                    CHECK(rig.edge->beforeFirstByte(s.request, s.attempt, rig.now));
+                    auto e = rig.edge->find(s.request);
+                    auto p = e->received.promptParts.size() > 1 && e->received.sharedTokens > 1000
+                        ? headerOf(e->received.headers, "X-Parts")
+                        : std::string();
+                    auto& c = caches[s.server];
+                    auto load = fmt::format("{},0,64", ++running[s.server]);
+                    auto lat = 300 * MILLISECOND;
+                    if (!p.empty()) {
+                        longs++;
+                        auto id = std::stoi(p, nullptr, 16);
+                        if (!c.count(id)) {
+                            reads++;
+                            lat += 200 * MILLISECOND;
+                            if (c.size() >= 20)
+                                c.erase(std::min_element(c.begin(), c.end(),
+                                    [](auto& a, auto& b) { return a.second < b.second; }));
+                        }
+                        c[id] = rig.now;
                     }
-                    c[id] = rig.now;
+                    rig.edge->onResponseHead(
+                        s.request, s.attempt, 200, rig.answerHeaders(s.request, {{"X-Load", load}}), rig.now);
+                    rig.sendEvent(s.request, "1");
+                    runs.push_back({rig.now + lat, i, s.request, s.server});
                 }
-                runs.push_back(
-                    {rig.now + lat, i, s.request, s.server, load, rig.now + lat - 280 * MILLISECOND, false});
             }
-        }
-        for (auto n = runs.size(); n > 0; n--) {
-            auto v = runs.front();
-            runs.pop_front();
-            if (!v.begun && v.headAt <= f.now()) {
-                v.begun = true;
+            for (auto n = runs.size(); n > 0; n--) {
+                auto v = runs.front();
+                runs.pop_front();
+                if (v.till > f.now()) {
+                    runs.push_back(v);
+                    continue;
+                }
+                running[v.server]--;
                 auto& rig = *f.edges[v.e];
-                rig.edge->onResponseHead(v.x, rig.edge->find(v.x)->attempts.current, 200,
-                    rig.answerHeaders(v.x, {{"X-Load", v.load}}), rig.now);
-                rig.sendEvent(v.x, "1");
+                rig.edge->onStreamEnd(v.x, rig.edge->find(v.x)->attempts.current, rig.now);
             }
-            if (v.till > f.now()) {
-                runs.push_back(v);
-                continue;
-            }
-            running[v.server]--;
-            auto& rig = *f.edges[v.e];
-            rig.edge->onStreamEnd(v.x, rig.edge->find(v.x)->attempts.current, rig.now);
+            f.step();
+        }
+        CHECK(longs > 400);
+        if (random) CHECK(reads > 150);
+        else {
+            CHECK(reads <= 32 + 6);
+            auto most = std::size_t(0);
+            for (auto& [s, c] : caches) most = std::max(most, c.size());
+            CHECK(most <= 10);
         }
-        f.step();
     }
-    auto most = std::size_t(0);
-    for (auto& [s, c] : caches) most = std::max(most, c.size());
-    return {longs, reads, readsAtFirst, most};
-}
-TEST(EdgePlatform, cacheHomes) {
-    auto homes = playCacheHomes(false), random = playCacheHomes(true);
-    CHECK(homes.longPrompts > 400);
-    CHECK(homes.readsAtFirst <= 32 + 32);
-    CHECK(homes.reads <= 32 + 6);
-    CHECK(random.reads > 150);
 }
-// No server is named for more beginnings than its share, let alone than its memory holds.
-TEST(CacheMemory, beginningsAreSpread) { CHECK(playCacheHomes(false).mostAtOneServer <= 10); }
 
 // Edges that each heard of a server at another time, at three quarters of its places: few arrive
 // where all places are taken, and all do not run to a server that is new.
@@ -289,8 +268,8 @@
     CHECK(before >= 6 && before < 20);  // before the near ones were full
 }
 
-// Requests that may only go to the near region keep its servers; long prompts that may go anywhere
-// are read in the other, unless that is full or no other request is bound.
+// Exchanges that may only go to the near region claim its servers; long prompts that may go anywhere
+// are read in the other, unless that is full or no other exchange is bound.
 TEST(EdgePlatform, boundRequestsClaimARegion) {
     auto conf = std::string(
         R"({"pools":{"p":{"engine":true,"kvTokens":300000}},"mappings":[{"name":"a","path":"/a/*","pool":"p","homes":["near"],"aimUs":800000},{"name":"l","path":"/l/*","pool":"p","aimUs":1000000}]})");
@@ -305,7 +284,6 @@
             CHECK(!bound || rig.lastSend().server != "f");
             rig.answer(x);
         }
-        rig.runFor(200 * MILLISECOND);  // in which the demand is counted
         auto far = 0;
         for (auto i = 0; i < 4; i++) {
             auto x = rig.sendRequest(
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -10,15 +10,6 @@
 // A server listed as leaving, with the generation of that listing.
 struct DrainMark { 1: string server, 2: i64 revision }
 
-// What a node's clients ask of one service of late, by the class of the prompt's length. `region`: the only
-// one that may serve these requests; empty: several may. The lists are of the same length: the classes, their
-// requests a second and those under way at a time, in thousandths, and how long an engine takes to read such
-// a prompt, in microseconds (0: not known to this node).
-struct ServiceDemand {
-  1: string serviceName, 2: string region, 3: list<i32> promptClasses, 4: list<i32> milliRequests,
-  5: list<i32> milliRunning, 6: list<i32> readingTimes
-}
-
 // One node's word about itself; carried onward unchanged by whoever hears it.
 struct NodeRecord {
   1: string node, 2: i64 boot, 3: i64 heartbeat,
@@ -30,7 +21,7 @@
   16: string disk, 17: bool blank, 18: i64 term, 19: bool leader, 20: bool ready,
   21: bool stopping, 22: i64 want,
   // Learnt membership: the count of this life's changes, and how long ago the teller heard of it.
-  23: i64 version, 24: i64 age, 25: optional list<ServiceDemand> demand
+  23: i64 version, 24: i64 age
 }
 
 // The sign that a node lives and that its row is still the one of this version.
