--- a/src/consensus/configuration.cpp
+++ b/src/consensus/configuration.cpp
@@ -65,7 +65,8 @@
 auto entryKnown(const wire::Entry& entry) -> bool {
     switch (entry.kind) {
     case ENTRY_NOOP:
-    case ENTRY_ORDER: return true;
+    case ENTRY_ORDER:
+    case ENTRY_COMPACT: return true;
     case ENTRY_VOTERS: return !votersParse(entry.body).empty();
     case ENTRY_JOINT: {
         auto configuration = jointParse(entry.body);
@@ -75,6 +76,14 @@
     }
 }
 
+auto isCommandEntry(const wire::Entry& entry) -> bool {
+    return entry.kind == ENTRY_ORDER || entry.kind == ENTRY_COMPACT;
+}
+
+auto entryKindOf(EntryForm form) -> std::int32_t {
+    return form == EntryForm::Compact ? ENTRY_COMPACT : ENTRY_ORDER;
+}
+
 auto isConfigurationEntry(const wire::Entry& entry) -> bool {
     return entry.kind == ENTRY_VOTERS || entry.kind == ENTRY_JOINT;
 }
--- a/src/consensus/configuration.hpp
+++ b/src/consensus/configuration.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "state/command_codec.hpp"
 #include "state/replicated_state.hpp"
 #include "wire_types.h"
 
@@ -21,9 +22,16 @@
 constexpr std::int32_t ENTRY_VOTERS = 2;
 /// The voters before and after a change, of which both majorities count.
 constexpr std::int32_t ENTRY_JOINT = 3;
+/// A command of the replicated state in the compact form (EntryForm::Compact). A program that does not know
+/// this kind refuses the entry, so that it never applies one that it would read as another command.
+constexpr std::int32_t ENTRY_COMPACT = 4;
 
 /// Whether this program can read an entry; one that it can't is not taken into the log.
 [[nodiscard]] auto entryKnown(const wire::Entry& entry) -> bool;
+/// Whether an entry holds a command of the replicated state.
+[[nodiscard]] auto isCommandEntry(const wire::Entry& entry) -> bool;
+/// The kind of the entry that holds a command in this form.
+[[nodiscard]] auto entryKindOf(EntryForm form) -> std::int32_t;
 /// Whether an entry changes the configuration.
 [[nodiscard]] auto isConfigurationEntry(const wire::Entry& entry) -> bool;
 
--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -84,6 +84,7 @@
     logEvent("leader_elected", "epoch={} term={}", epoch_, term_);
     counters_.add("leader_won_total");
     firstIndexOfTerm_ = last() + 1;
+    rebuildLatestState();
     append(ENTRY_NOOP, "", now);
 }
 
--- a/src/consensus/log.cpp
+++ b/src/consensus/log.cpp
@@ -73,7 +73,7 @@
     }
     if (installWrite_ && write.sequence >= installWrite_) {
         installWrite_ = 0;
-        if (!blank()) port_.voterApplied(replicatedState_, "", {});
+        if (!blank()) port_.voterApplied(replicatedState_, {});
     }
     if (!blank()) applyCommitted(std::min(write.commit, commitIndex_), now);
     // A candidate's own vote counts once its own disk holds it.
@@ -88,7 +88,7 @@
 auto Voter::rebuildLatestState() -> void {
     latestState_ = replicatedState_;
     for (auto index = lastApplied_ + 1; index <= last(); index++)
-        if (log_.at(index).kind == ENTRY_ORDER) latestState_.apply(log_.at(index).body);
+        if (isCommandEntry(log_.at(index))) latestState_.apply(log_.at(index).body);
 }
 
 }  // namespace duneturn
--- a/src/consensus/membership.cpp
+++ b/src/consensus/membership.cpp
@@ -12,6 +12,7 @@
 #include "base/time.hpp"
 #include "consensus/role.hpp"
 #include "consensus/voter.hpp"
+#include "state/command_codec.hpp"
 
 namespace duneturn {
 
@@ -23,18 +24,17 @@
 }
 
 auto Voter::applyEntry(const wire::Entry& entry) -> void {
-    if (entry.kind == ENTRY_ORDER) {
-        auto document = rapidjson::Document();
-        auto outcome = replicatedState_.apply(entry.body);
-        auto key = parseJson(entry.body, document) ? jsonString(document, "key") : std::string();
+    if (isCommandEntry(entry)) {
+        auto command = decodeCommand(entry.body);
+        auto outcome = command ? replicatedState_.apply(*command) : replicatedState_.apply(entry.body);
         counters_.add("orders_applied_total");
-        port_.voterApplied(replicatedState_, key, outcome);
+        port_.voterApplied(replicatedState_, {&entry, command ? command->key : "", outcome});
     } else if (entry.kind == ENTRY_JOINT) {
         appliedJoint_ = true;
     } else if (entry.kind == ENTRY_VOTERS) {
         appliedJoint_ = false;
         replicatedState_.applyVoters(VoterConfiguration::ofEntry(entry).voters());
-        port_.voterApplied(replicatedState_, "", {});
+        port_.voterApplied(replicatedState_, {&entry, "", {}});
     }
 }
 
@@ -159,6 +159,15 @@
     return verdict == CatchUp::Verdict::CaughtUp;
 }
 
+auto Voter::allReadCompact() const -> bool {
+    auto disks = configuration_.disks();
+    return std::all_of(disks.begin(), disks.end(), [&](const std::string& disk) {
+        auto progress = progress_.find(disk);
+        if (progress == progress_.end() || !progress->second.lastContact()) return true;
+        return progress->second.knowsCompact();
+    });
+}
+
 // False if a voter or newcomer that answers runs a program without joint configurations.
 auto Voter::beginConfigurationChange(std::vector<VoterIdentity> voters, Microseconds now) -> bool {
     auto readsNoJoint = [&](const std::string& disk) {
--- a/src/consensus/progress.cpp
+++ b/src/consensus/progress.cpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "base/time.hpp"
+#include "consensus/configuration.hpp"
 #include "consensus/invariant.hpp"
 #include "consensus/limits.hpp"
 
@@ -35,6 +36,11 @@
 
 auto ReplicaProgress::hasRoom() const -> bool { return inFlight_.size() < MAX_BATCHES_IN_FLIGHT; }
 
+auto ReplicaProgress::reads(const wire::Entry& entry) const -> bool {
+    if (entry.kind == ENTRY_JOINT) return knowsJoint_;
+    return entry.kind != ENTRY_COMPACT || knowsCompact_;
+}
+
 auto ReplicaProgress::start(std::int64_t next) -> void {
     if (next_ == 0) next_ = next;
 }
@@ -42,6 +48,7 @@
 auto ReplicaProgress::noteReply(const wire::AppendEntriesReply& reply, Microseconds now) -> void {
     lastContact_ = now;
     knowsJoint_ = knowsJoint_ || reply.knowsJoint;
+    knowsCompact_ = knowsCompact_ || reply.knowsCompact;
     confirmedRound_ = std::max(confirmedRound_, reply.round);
 }
 
--- a/src/consensus/progress.hpp
+++ b/src/consensus/progress.hpp
@@ -48,6 +48,11 @@
     [[nodiscard]] auto lastSent() const -> Microseconds { return lastSent_; }
     /// Whether it has stated that it reads joint configurations.
     [[nodiscard]] auto knowsJoint() const -> bool { return knowsJoint_; }
+    /// Whether it has stated that it reads entries of kind ENTRY_COMPACT.
+    [[nodiscard]] auto knowsCompact() const -> bool { return knowsCompact_; }
+    /// Whether it may be sent this entry: one that reads no joint configuration would go on by the voters
+    /// before it, and a compact command would be refused with all that follows.
+    [[nodiscard]] auto reads(const wire::Entry& entry) const -> bool;
     /// Whether another batch may be sent before one is answered.
     [[nodiscard]] auto hasRoom() const -> bool;
 
@@ -80,6 +85,7 @@
     Microseconds lastContact_ = 0;
     Microseconds lastSent_ = 0;
     bool knowsJoint_ = false;
+    bool knowsCompact_ = false;
     std::deque<Batch> inFlight_;  // sent and not answered
     // When the first of them was sent, or one was answered.
     Microseconds progressAt_ = 0;
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -21,7 +21,7 @@
     entry.body = body;
     log_.append(entry);
     if (isConfigurationEntry(entry)) refreshConfiguration();
-    if (kind == ENTRY_ORDER) latestState_.apply(body);
+    if (isCommandEntry(entry)) latestState_.apply(body);
     auto change = DiskWrite();
     change.entries.push_back(std::move(entry));
     write(std::move(change), now);
@@ -76,8 +76,7 @@
         auto& entry = log_.at(index);
         if (request.entries.size() >= BATCH_ENTRIES) break;
         if (bytes > 0 && bytes + entry.body.size() > BATCH_BYTES) break;
-        // One that reads no joint configuration would go on by the voters before it.
-        if (entry.kind == ENTRY_JOINT && !progress.knowsJoint()) break;
+        if (!progress.reads(entry)) break;
         request.entries.push_back(entry);
         bytes += entry.body.size();
     }
@@ -181,6 +180,7 @@
     reply.term = term_;
     reply.round = request.round;
     reply.knowsJoint = true;
+    reply.__set_knowsCompact(true);
     if (request.prevLogIndex > last()
         || (request.prevLogIndex >= snapshot_.index
             && log_.termAt(request.prevLogIndex) != request.prevLogTerm)) {
@@ -195,10 +195,7 @@
     auto commit = std::min(request.commit, match);
     auto rises = commit > commitIndex_;
     if (rises) commitIndex_ = commit;
-    if (!change.entries.empty()) {
-        refreshConfiguration();
-        rebuildLatestState();
-    }
+    if (!change.entries.empty()) refreshConfiguration();
     reply.ok = true;
     reply.match = match;
     message.__set_appendEntriesReply(reply);
--- a/src/consensus/snapshot.cpp
+++ b/src/consensus/snapshot.cpp
@@ -83,6 +83,7 @@
     reply.round = round;
     reply.match = index;
     reply.knowsJoint = true;
+    reply.__set_knowsCompact(true);
     auto answer = envelope();
     answer.__set_appendEntriesReply(reply);
     sendAfterWrite(writeIfUnsaved(now), to, answer);
--- a/src/consensus/voter.cpp
+++ b/src/consensus/voter.cpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "base/counters.hpp"
 #include "base/log.hpp"
@@ -20,7 +21,7 @@
 
 auto Voter::role() const -> Role { return Role(roles_->machine.current_state()[0]); }
 
-auto Voter::start(const DiskState& state, const std::string& newDiskId, Microseconds now) -> void {
+auto Voter::start(DiskState state, const std::string& newDiskId, Microseconds now) -> void {
     disk_ = state.disk.empty() ? newDiskId : state.disk;
     lastLeaderContact_ = now;
     restartElectionTimer(now);
@@ -34,16 +35,16 @@
     commitIndex_ = state.commit;
     replicatedState_.load(state.snapshotDocument);
     snapshot_ = {state.snapshotIndex, state.snapshotTerm,
-        std::make_shared<const std::string>(state.snapshotDocument), replicatedState_.voters()};
+        std::make_shared<const std::string>(std::move(state.snapshotDocument)), replicatedState_.voters()};
     log_.reset(snapshot_.index, snapshot_.term);
-    for (auto& entry : state.log) log_.append(entry);
+    for (auto& entry : state.log) log_.append(std::move(entry));
     lastApplied_ = snapshot_.index;
     lastSynced_ = last();
     commitIndex_ = std::min(std::max(commitIndex_, snapshot_.index), last());
     roles_->process(Initialized{}, counters_);
     refreshConfiguration();
     applyCommitted(commitIndex_, now);
-    port_.voterApplied(replicatedState_, "", {});
+    port_.voterApplied(replicatedState_, {});
 }
 
 auto Voter::envelope() const -> wire::Envelope {
--- a/src/consensus/voter.hpp
+++ b/src/consensus/voter.hpp
@@ -46,6 +46,13 @@
 
 namespace duneturn {
 
+/// The entry that brought the state machine forward.
+struct AppliedEntry {
+    const wire::Entry* entry = nullptr;  // null if the state came as a whole; valid during the call
+    std::string key;                     // the idempotency key, if the entry was a command
+    Outcome outcome;                     // of that command
+};
+
 /// What a voter needs of its surroundings: a network, a disk, and one that uses the state.
 struct VoterPort {
     virtual ~VoterPort() = default;
@@ -53,10 +60,8 @@
     virtual auto voterSend(const std::string& disk, wire::Envelope& message) -> void = 0;
     /// Begins a write; Voter::diskDone reports its end. Writes are performed in their order.
     virtual auto voterWrite(const DiskWrite& write) -> void = 0;
-    /// The state machine advanced to `state`, which this disk holds; `key` and `outcome` are set when the
-    /// entry was a command.
-    virtual auto voterApplied(const ReplicatedState& state, const std::string& key, const Outcome& outcome)
-        -> void = 0;
+    /// The state machine advanced to `state`, which this disk holds.
+    virtual auto voterApplied(const ReplicatedState& state, const AppliedEntry& applied) -> void = 0;
     /// Answers Voter::read: `ok` if this was the leader after the question came, and the state has what
     /// was committed then.
     virtual auto voterRead(std::int64_t id, bool ok) -> void = 0;
@@ -79,7 +84,7 @@
     ~Voter();
 
     /// Starts from what the disk holds; an empty state makes a blank voter with the identity `newDiskId`.
-    auto start(const DiskState& state, const std::string& newDiskId, Microseconds now) -> void;
+    auto start(DiskState state, const std::string& newDiskId, Microseconds now) -> void;
     /// To be called often, at least each 50 ms; timers are checked here only.
     auto tick(Microseconds now) -> void;
     /// Takes a message of another replica.
@@ -92,6 +97,8 @@
     /// Appends a command (its kind, see configuration.hpp, and its body) to the log. False, and nothing is
     /// appended, unless this leads, its disk works and no transfer of leadership is under way.
     auto propose(int kind, const std::string& body, Microseconds now) -> bool;
+    /// Of a leader: whether every voter that answers reads entries of kind ENTRY_COMPACT.
+    auto allReadCompact() const -> bool;
     /// Asks whether this is still the leader; answered through voterRead with this id.
     auto read(std::int64_t id, Microseconds now) -> void;
     /// Spare disks that could take the place of a voter's, as (node, disk).
--- a/src/control/order_service.cpp
+++ b/src/control/order_service.cpp
@@ -8,6 +8,7 @@
 
 #include "base/json.hpp"
 #include "base/time.hpp"
+#include "consensus/configuration.hpp"
 
 namespace duneturn {
 
@@ -64,17 +65,24 @@
         command->deadline = now + ORDER_SERVICE_TIMEOUT;
         return;
     }
-    auto entry = orderPrepare(voter.latestState(), request.operation, request.key, request.body, wall);
-    if (entry) return propose(voter, from, request.key, *entry, now);
-    if (entry.error().dependsOnState && !broken.refuseFromLog)
+    auto command = prepareCommand(voter.latestState(), request.operation, request.key, request.body, wall);
+    if (command) return propose(voter, from, *command, now);
+    if (command.error().dependsOnState && !broken.refuseFromLog)
         return confirmRefusal(voter, from, request, now);
-    refuse(from, entry.error());
+    refuse(from, command.error());
 }
 
-auto OrderService::propose(Voter& voter, const Requester& from, const std::string& key,
-    const std::string& entry, Microseconds now) -> void {
-    awaitOutcome(voter, from, key, now);
-    if (voter.propose(1, entry, now)) return;
+/// A log entry that all voters can read.
+static auto encodeForVoters(const Voter& voter, const LoggedCommand& command) -> EncodedCommand {
+    if (voter.allReadCompact()) return encodeCompact(voter.latestState(), command);
+    return {encodeCommand(command), EntryForm::Document};
+}
+
+auto OrderService::propose(
+    Voter& voter, const Requester& from, const LoggedCommand& command, Microseconds now) -> void {
+    awaitOutcome(voter, from, command.key, now);
+    auto entry = encodeForVoters(voter, command);
+    if (voter.propose(entryKindOf(entry.form), entry.body, now)) return;
     commands_.pop_back();
     port_.answer(from, order_answer::notLogged("the leader's disk takes nothing; the order was not logged"));
 }
@@ -139,9 +147,9 @@
     auto& request = refusal.request;
     auto& state = voter.replicatedState();
     if (auto known = state.accepted(request.key); known.status) return port_.answer(refusal.from, known);
-    auto entry = orderPrepare(state, request.operation, request.key, request.body, wall);
-    if (entry) return propose(voter, refusal.from, request.key, *entry, now);
-    refuse(refusal.from, entry.error());
+    auto command = prepareCommand(state, request.operation, request.key, request.body, wall);
+    if (command) return propose(voter, refusal.from, *command, now);
+    refuse(refusal.from, command.error());
 }
 
 auto OrderService::tickRefusals(Voter& voter, Microseconds wall, Microseconds now) -> void {
--- a/src/control/order_service.hpp
+++ b/src/control/order_service.hpp
@@ -116,8 +116,7 @@
     auto findInLog(const std::string& key, std::int64_t term) -> PendingCommand*;
     auto awaitOutcome(Voter& voter, const Requester& from, const std::string& key, Microseconds now)
         -> PendingCommand&;
-    auto propose(Voter& voter, const Requester& from, const std::string& key, const std::string& entry,
-        Microseconds now) -> void;
+    auto propose(Voter& voter, const Requester& from, const LoggedCommand& command, Microseconds now) -> void;
     auto confirmRefusal(Voter& voter, const Requester& from, const Request& request, Microseconds now)
         -> void;
     auto prepareAgain(Voter& voter, const PendingRefusal& refusal, Microseconds wall, Microseconds now)
--- a/src/daemon/disk_thread.cpp
+++ b/src/daemon/disk_thread.cpp
@@ -7,6 +7,7 @@
 #include <random>
 #include <sstream>
 #include <string>
+#include <sys/resource.h>
 #include <unistd.h>
 #include <utility>
 #include <vector>
@@ -23,6 +24,15 @@
 
 namespace duneturn {
 
+static constexpr std::int64_t KILOBYTE = 1024;  // the unit of getrusage
+
+/// The most memory that this process has had in use so far.
+static auto peakMemoryBytes() -> std::int64_t {
+    auto usage = rusage();
+    if (getrusage(RUSAGE_SELF, &usage) != 0) return 0;
+    return std::int64_t(usage.ru_maxrss) * KILOBYTE;
+}
+
 auto DiskThread::open() -> tl::expected<void, StoreError> {
     auto state = store_.open(settings_.data);
     if (!state) return tl::make_unexpected(state.error());
@@ -33,7 +43,11 @@
     auto lock = std::lock_guard(logic_.mutex);
     if (store_.setAside()) logic_.counters.add("store_set_aside_total");
     logic_.node->addPeerHints(peers);
-    logic_.node->startCore(*state, newIdentity, bootNow());
+    auto entries = state->log.size();
+    logic_.node->startCore(std::move(*state), newIdentity, bootNow());
+    auto peak = peakMemoryBytes();
+    logic_.counters.set("load_peak_bytes", peak);
+    logEvent("store_loaded", "entries={} peak_bytes={}", entries, peak);
     opened_ = true;
     return {};
 }
--- a/src/membership/gossip_membership.hpp
+++ b/src/membership/gossip_membership.hpp
@@ -6,6 +6,7 @@
 // Thomas, "Efficient Reconciliation and Flow Control for Anti-Entropy Protocols", LADIS 2008.
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -37,6 +38,7 @@
     [[nodiscard]] auto acknowledged(MajorityProof& proof, std::int64_t version, Microseconds now)
         -> bool override;
     [[nodiscard]] auto actsOnReceivedState() const -> bool override;
+    [[nodiscard]] auto announcesStateAtOnce() const -> bool override { return false; }
     [[nodiscard]] auto sendsStateTo(const wire::NodeRecord& record) const -> bool override;
     [[nodiscard]] auto lastLeader() const -> std::string override;
     [[nodiscard]] auto voteHandedOver(Microseconds now) const -> bool override;
@@ -54,10 +56,12 @@
     struct Neighbour {
         struct SentRecord {
             std::int64_t boot = 0, version = 0, heartbeat = 0;
+            StateVersion state;
         };
         std::map<std::string, SentRecord> records;
         std::int64_t listingHeld = NO_LISTING;  // as it last said
         std::int64_t listingSent = NO_LISTING;
+        bool readsStateVersions = false;  // else a record is sent to it when only the state has changed
         Microseconds listingSentAt = 0;
         Microseconds loadsSentAt = 0;
         Microseconds recordsResetAt = 0;  // when it was last assumed to know no record
@@ -81,6 +85,7 @@
     auto addLoads(wire::Heartbeat& heartbeat, Neighbour& neighbour, const std::string& name, Extent extent,
         Microseconds now) const -> void;
     auto addMissingRecords(wire::Heartbeat& heartbeat, const std::string& name) -> void;
+    [[nodiscard]] auto heartbeatPulseOf(const wire::NodeRecord& record) const -> wire::HeartbeatPulse;
     [[nodiscard]] auto recordToSend(const std::string& name, Microseconds now) const -> wire::NodeRecord;
     auto seekContact(const std::string& parent, Microseconds now) -> void;
     auto askForAll(const std::string& address) -> void;
@@ -90,9 +95,12 @@
 
     // Receiving.
     auto mergeRecord(const wire::NodeRecord& record, const std::string& from, Microseconds now) -> void;
-    auto mergeHeartbeatPulse(
-        const wire::HeartbeatPulse& heartbeatPulse, const std::string& from, Microseconds now) -> void;
+    /// `sourceState`: the state of the node that sent it; none if it is not known.
+    auto mergeHeartbeatPulse(const wire::HeartbeatPulse& heartbeatPulse, const std::string& from,
+        const std::optional<StateVersion>& sourceState, Microseconds now) -> void;
+    [[nodiscard]] auto sourceState(const wire::Envelope& envelope) const -> std::optional<StateVersion>;
     auto mergeLoads(const wire::Heartbeat& heartbeat, const std::string& from, Microseconds now) -> void;
+    auto noteState(const wire::NodeRecord& record) -> void;
     auto noteHeartbeat(KnownNode& known, std::int64_t heartbeat, const std::string& from, Microseconds now)
         -> void;
     auto answerRequests(const wire::Envelope& envelope, Microseconds now) -> void;
--- a/src/membership/gossip_receiving.cpp
+++ b/src/membership/gossip_receiving.cpp
@@ -1,6 +1,7 @@
 // GossipMembership: taking what another node sent.
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -21,7 +22,9 @@
     auto& from = envelope.node;
     auto leaderBefore = leader_;
     for (auto& record : heartbeat.records) mergeRecord(record, from, now);
-    for (auto& heartbeatPulse : heartbeat.heartbeatPulses) mergeHeartbeatPulse(heartbeatPulse, from, now);
+    auto state = sourceState(envelope);
+    for (auto& heartbeatPulse : heartbeat.heartbeatPulses)
+        mergeHeartbeatPulse(heartbeatPulse, from, state, now);
     auto neighbour = neighbours_.find(from);
     if (heartbeat.listingNumber && neighbour != neighbours_.end())
         neighbour->second.listingHeld = heartbeat.listingNumber;
@@ -43,9 +46,7 @@
         if (neighbour.askedAllAt && now - neighbour.askedAllAt < ANSWER_ALL_INTERVAL) return;
         neighbour.askedAllAt = now;
         sendTo(from, Extent::Everything, now);
-        auto& record = *context_.members.find(from);
-        if (versionOf(record) < versionOf(context_.state)) context_.sendState(record.peer);
-        return;
+        return context_.statePublisher.answer(*context_.members.find(from));
     }
     auto neighbour = neighbours_.find(from);
     if (heartbeat.wantedRecords.empty() || neighbour == neighbours_.end()) return;
@@ -64,6 +65,13 @@
     known.receivedFrom = from;
 }
 
+/// Within one life a node's state does not go back.
+static auto raiseState(wire::NodeRecord& record, StateVersion state) -> void {
+    if (state <= versionOf(record)) return;
+    record.epoch = state.epoch;
+    record.stateVersion = state.version;
+}
+
 auto GossipMembership::mergeRecord(const wire::NodeRecord& record, const std::string& from, Microseconds now)
     -> void {
     if (!acceptable(record)) return;
@@ -87,20 +95,44 @@
         if (!first) neighbours_.erase(record.node);
     }
     auto leaderMayChange = held.leader || record.leader;
+    auto heldState = held.boot == record.boot ? versionOf(held) : StateVersion();
     held = record;
+    // It may have been passed on before the newest heartbeat counter came.
+    raiseState(held, heldState);
     known.recordAt = now;
     if (newer) noteHeartbeat(known, record.heartbeat, from, now);
     // Of a node that was unknown it counts how long ago it was in touch with the other.
     if (first) known.lastHeartbeatAt = now - std::max<Microseconds>(0, record.age);
     if (leaderMayChange) leader_ = context_.members.leaderNode(now);
     if (first || leaderMayChange) treeBuiltAt_ = 0;
-    // A gap in the news that the tree does not close by itself is closed by pulling the state.
+    noteState(record);
+}
+
+/// A gap in the news that the tree does not close by itself is closed by pulling the state.
+auto GossipMembership::noteState(const wire::NodeRecord& record) -> void {
     if (!nextStateRequestAt_ && versionOf(record) > versionOf(context_.state))
-        nextStateRequestAt_ = now + STATE_PULL_DELAY;
+        nextStateRequestAt_ = context_.now + STATE_PULL_DELAY;
+}
+
+/// The state that the source of a message says it holds.
+auto GossipMembership::sourceState(const wire::Envelope& envelope) const -> std::optional<StateVersion> {
+    auto& heartbeat = envelope.heartbeat;
+    auto isSource = [&](const auto& item) { return item.node == envelope.node; };
+    auto& records = heartbeat.records;
+    auto record = std::find_if(records.begin(), records.end(), isSource);
+    if (record != records.end())
+        return record->readsChanges ? std::optional(versionOf(*record)) : std::nullopt;
+    auto& heartbeatPulses = heartbeat.heartbeatPulses;
+    auto heartbeatPulse = std::find_if(heartbeatPulses.begin(), heartbeatPulses.end(), isSource);
+    auto held = context_.members.find(envelope.node);
+    if (heartbeatPulse == heartbeatPulses.end() || !heartbeatPulse->__isset.stateVersion || !held)
+        return std::nullopt;
+    if (held->boot != heartbeatPulse->boot || held->version != heartbeatPulse->version) return std::nullopt;
+    return StateVersion{held->epoch, heartbeatPulse->stateVersion};
 }
 
-auto GossipMembership::mergeHeartbeatPulse(
-    const wire::HeartbeatPulse& heartbeatPulse, const std::string& from, Microseconds now) -> void {
+auto GossipMembership::mergeHeartbeatPulse(const wire::HeartbeatPulse& heartbeatPulse,
+    const std::string& from, const std::optional<StateVersion>& sourceState, Microseconds now) -> void {
     if (heartbeatPulse.node == context_.members.own().node)
         return context_.refuteOwnRecord(heartbeatPulse.boot, heartbeatPulse.heartbeat, "");
     auto entry = context_.members.others().find(heartbeatPulse.node);
@@ -108,8 +140,13 @@
         auto& held = entry->second.record;
         if (std::pair(heartbeatPulse.boot, heartbeatPulse.heartbeat) <= std::pair(held.boot, held.heartbeat))
             return;
-        if (held.boot == heartbeatPulse.boot && held.version == heartbeatPulse.version)
-            return noteHeartbeat(entry->second, heartbeatPulse.heartbeat, from, now);
+        if (held.boot == heartbeatPulse.boot && held.version == heartbeatPulse.version) {
+            noteHeartbeat(entry->second, heartbeatPulse.heartbeat, from, now);
+            if (heartbeatPulse.__isset.stateVersion)
+                raiseState(held, {held.epoch, heartbeatPulse.stateVersion});
+            else if (sourceState && sourceState->epoch == held.epoch) raiseState(held, *sourceState);
+            return noteState(held);
+        }
     }
     if (auto& missing = missingRecords_[from]; missing.size() < MAX_KNOWN)
         missing.insert(heartbeatPulse.node);
--- a/src/membership/gossip_sending.cpp
+++ b/src/membership/gossip_sending.cpp
@@ -18,11 +18,11 @@
 static constexpr int LISTING_RETRY_HEARTBEATS = 3;    // a listing that is not confirmed by then is sent again
 static constexpr int NEIGHBOUR_KEPT_HEARTBEATS = 10;  // since something was last sent to it
 
-/// What others act on; a change of it is sent as a new version of the record.
+/// What others act on; a change of it is sent as a new version of the record. The version of the replicated
+/// state, which changes at every node with each order, travels with the heartbeat counter instead.
 static auto actedOn(const wire::NodeRecord& record) {
-    return std::tie(record.peer, record.clientAddress, record.operatorAddress, record.epoch,
-        record.stateVersion, record.settled, record.disk, record.blank, record.term, record.leader,
-        record.ready, record.stopping, record.boot);
+    return std::tie(record.peer, record.clientAddress, record.operatorAddress, record.epoch, record.settled,
+        record.disk, record.blank, record.term, record.leader, record.ready, record.stopping, record.boot);
 }
 
 /// Whether a budget differs by more than a quarter from what was sent.
@@ -152,6 +152,7 @@
         neighbour.records.clear();
     }
     if (extent == Extent::Everything) neighbour.records.clear();
+    neighbour.readsStateVersions = receiver->readsChanges;
     auto heartbeat = wire::Heartbeat();
     addRecord(heartbeat, neighbour, own, now);
     if (extent != Extent::OwnRecord) {
@@ -175,21 +176,30 @@
     return record;
 }
 
+auto GossipMembership::heartbeatPulseOf(const wire::NodeRecord& record) const -> wire::HeartbeatPulse {
+    auto& own = context_.members.own();
+    auto heartbeatPulse = wire::HeartbeatPulse();
+    heartbeatPulse.node = record.node;
+    heartbeatPulse.boot = record.boot;
+    heartbeatPulse.heartbeat = record.heartbeat;
+    heartbeatPulse.version = record.version;
+    if (&record == &own || versionOf(record) != versionOf(own))
+        heartbeatPulse.__set_stateVersion(record.stateVersion);
+    return heartbeatPulse;
+}
+
 /// Adds the record or only its heartbeat counter, if the neighbour has not been sent it.
 auto GossipMembership::addRecord(wire::Heartbeat& heartbeat, Neighbour& neighbour,
     const wire::NodeRecord& record, Microseconds now) const -> void {
     auto& sent = neighbour.records[record.node];
-    if (sent.boot != record.boot || sent.version != record.version) {
+    auto stateChanged = sent.state != versionOf(record);
+    auto recordChanged = sent.boot != record.boot || sent.version != record.version;
+    if (recordChanged || (stateChanged && !neighbour.readsStateVersions)) {
         heartbeat.records.push_back(recordToSend(record.node, now));
     } else if (sent.heartbeat != record.heartbeat) {
-        auto heartbeatPulse = wire::HeartbeatPulse();
-        heartbeatPulse.node = record.node;
-        heartbeatPulse.boot = record.boot;
-        heartbeatPulse.heartbeat = record.heartbeat;
-        heartbeatPulse.version = record.version;
-        heartbeat.heartbeatPulses.push_back(heartbeatPulse);
+        heartbeat.heartbeatPulses.push_back(heartbeatPulseOf(record));
     } else return;
-    sent = {record.boot, record.version, record.heartbeat};
+    sent = {record.boot, record.version, record.heartbeat, versionOf(record)};
 }
 
 auto GossipMembership::addOtherRecords(wire::Heartbeat& heartbeat, Neighbour& neighbour,
--- a/src/membership/membership_protocol.hpp
+++ b/src/membership/membership_protocol.hpp
@@ -57,6 +57,8 @@
         -> bool = 0;
     /// Whether a voter may act on a newer state of its epoch that another node sent, before its log has it.
     [[nodiscard]] virtual auto actsOnReceivedState() const -> bool = 0;
+    /// Whether the others must learn at once which state this node has taken, before the next heartbeat.
+    [[nodiscard]] virtual auto announcesStateAtOnce() const -> bool = 0;
     /// Whether a new state is sent down the tree to the node with this record.
     [[nodiscard]] virtual auto sendsStateTo(const wire::NodeRecord& record) const -> bool = 0;
     /// The leader as last looked up; empty if none was known or the way of membership keeps none.
--- a/src/membership/node.cpp
+++ b/src/membership/node.cpp
@@ -45,15 +45,19 @@
     const Settings& settings, NodePort& port, Counters& counters, std::int64_t boot, std::uint64_t seed)
     : context_(settings, port, counters, boot, seed),
       protocol_(makeProtocol(context_)),
+      stateReceiver_(context_, *protocol_,
+          [this](const ReplicatedState& state, const wire::StateChange* change) {
+              adoptReceived(state, change);
+          }),
       orderService_(*this, counters),
       orderClient_(*this, orderRetry(settings), firstOrderNumber(boot, seed)) {}
 
 Node::~Node() = default;
 
-auto Node::startCore(const DiskState& disk, const std::string& newDiskId, Microseconds now) -> void {
+auto Node::startCore(DiskState disk, const std::string& newDiskId, Microseconds now) -> void {
     context_.now = now;
     context_.voter = std::make_unique<Voter>(*this, context_.counters, context_.random.next());
-    context_.voter->start(disk, newDiskId, now);
+    context_.voter->start(std::move(disk), newDiskId, now);
     protocol_->refreshOwnRecord();
 }
 
--- a/src/membership/node.hpp
+++ b/src/membership/node.hpp
@@ -8,6 +8,7 @@
 //   membership_protocol.hpp  the interface of the two ways of membership:
 //     roster_membership.hpp    fixed roster, acknowledged heartbeats
 //     gossip_membership.hpp    discovery from seeds; gossip_listing.hpp
+//   state_publisher.hpp, state_receiver.hpp   the replicated state on its way between nodes
 //   cluster_bootstrap.hpp, disaster_recovery.hpp, voter_placement.hpp    who votes
 //   operation_scheduler.hpp, singleton_duty.hpp                          what one node does for all
 //   operator_views.hpp       what operators read
@@ -31,6 +32,7 @@
 #include "membership/node_port.hpp"
 #include "membership/operation_scheduler.hpp"
 #include "membership/server_directory.hpp"
+#include "membership/state_receiver.hpp"
 
 namespace duneturn {
 
@@ -41,7 +43,7 @@
     ~Node() override;
 
     /// Makes this node a voter: what its disk holds, and the identity to take if that is nothing.
-    auto startCore(const DiskState& disk, const std::string& newDiskId, Microseconds now) -> void;
+    auto startCore(DiskState disk, const std::string& newDiskId, Microseconds now) -> void;
     /// Addresses kept by an earlier life; tried beside the seeds.
     auto addPeerHints(const std::vector<std::string>& addresses) -> void;
     /// `wall`: calendar time.
@@ -131,8 +133,7 @@
     // VoterPort.
     auto voterSend(const std::string& disk, wire::Envelope& envelope) -> void override;
     auto voterWrite(const DiskWrite& write) -> void override;
-    auto voterApplied(const ReplicatedState& state, const std::string& key, const Outcome& outcome)
-        -> void override;
+    auto voterApplied(const ReplicatedState& state, const AppliedEntry& applied) -> void override;
     auto voterRead(std::int64_t id, bool ok) -> void override;
     // OrderServicePort.
     auto answer(const Requester& to, const Outcome& outcome) -> void override;
@@ -155,9 +156,11 @@
     auto tickVoter(Microseconds now, Microseconds wall) -> void;
     auto publishCounters(Microseconds now) -> void;
 
-    auto handleState(const wire::ReplicatedState& message, Microseconds now) -> void;
-    auto handleStateAsVoter(const wire::ReplicatedState& message, Microseconds now) -> void;
-    auto actOnReceivedState(const wire::ReplicatedState& message, Microseconds now) -> void;
+    /// Whether `state` was newer than the one held here, and was taken.
+    auto takeNewerState(const ReplicatedState& state) -> bool;
+    /// Passes a state on that was just taken.
+    auto announceState() -> void;
+    auto adoptReceived(const ReplicatedState& state, const wire::StateChange* change) -> void;
     auto handleStateRequest(const wire::ReplicatedStateRequest& request, const std::string& from) -> void;
     auto handleCreditGrant(const wire::CreditGrant& grant, const std::string& from) -> void;
     auto sendStateDown() -> void;
@@ -165,6 +168,7 @@
 
     NodeContext context_;
     std::unique_ptr<MembershipProtocol> protocol_;
+    StateReceiver stateReceiver_;
     OrderService orderService_;
     OrderClient orderClient_;
     OperationScheduler scheduler_;
--- a/src/membership/node_context.cpp
+++ b/src/membership/node_context.cpp
@@ -23,6 +23,7 @@
       leaseEvidence(
           nodeSettings.gossip ? LeaseEvidence::RecentHeartbeat : LeaseEvidence::AcknowledgedHeartbeat),
       members(timeouts.alive),
+      statePublisher(*this),
       peerHints(nodeSettings.seeds) {
     auto& own = members.own();
     own.node = settings.node;
@@ -33,6 +34,7 @@
     own.clientAddress = settings.clientAddress;
     own.operatorAddress = settings.operatorAddress;
     own.blank = true;
+    own.__set_readsChanges(true);
 }
 
 auto NodeContext::envelope() const -> wire::Envelope {
@@ -50,21 +52,12 @@
     return versionOf(receivedState) > versionOf(state) ? receivedState : state;
 }
 
-auto NodeContext::sendState(const std::string& address) -> void {
-    auto message = envelope();
-    auto held = wire::ReplicatedState();
-    held.epoch = state.epoch;
-    held.version = state.version;
-    held.document = state.text();
-    message.__set_replicatedState(held);
-    port.send(address, message);
-}
-
 auto NodeContext::requestState(const std::string& address, StateVersion held) -> void {
     auto message = envelope();
     auto request = wire::ReplicatedStateRequest();
     request.epoch = held.epoch;
     request.version = held.version;
+    request.__set_readsChanges(true);
     message.__set_replicatedStateRequest(request);
     port.send(address, message);
     counters.add("word_pulled_total");
--- a/src/membership/node_context.hpp
+++ b/src/membership/node_context.hpp
@@ -17,17 +17,21 @@
 #include "membership/membership_table.hpp"
 #include "membership/node_port.hpp"
 #include "membership/server_directory.hpp"
+#include "membership/state_publisher.hpp"
 #include "state/replicated_state.hpp"
 
 namespace duneturn {
 
 /// Deliberate faults that the tests' oracles must see; none is set outside tests.
 struct MembershipFaults {
-    bool noLease = false;         // acts on what it holds without any confirmation
-    bool ackEarly = false;        // acknowledges before the majorities hold a change
-    bool acceptOldState = false;  // lets an older replicated state replace a newer one
-    bool lateUp = false;          // takes a listing that a newer one has superseded
-    bool oldBoot = false;         // keeps an incarnation number that peers have already seen
+    bool noLease = false;          // acts on what it holds without any confirmation
+    bool ackEarly = false;         // acknowledges before the majorities hold a change
+    bool acceptOldState = false;   // lets an older replicated state replace a newer one
+    bool lateUp = false;           // takes a listing that a newer one has superseded
+    bool wholeStatesOnly = false;  // sends the state whole, as programs before StateChange do
+    bool applyAnyBase = false;     // applies steps of the state to another version than they rest on
+    bool ignoreDigest = false;     // takes what steps lead to without comparing its digest
+    bool oldBoot = false;          // keeps an incarnation number that peers have already seen
 };
 
 /// The members whose majorities count, by the replicated state held here.
@@ -43,6 +47,8 @@
 };
 
 struct NodeContext {
+    NodeContext(const NodeContext&) = delete;  // its parts refer to it
+    auto operator=(const NodeContext&) -> NodeContext& = delete;
     NodeContext(const Settings& nodeSettings, NodePort& nodePort, Counters& nodeCounters, std::int64_t boot,
         std::uint64_t seed);
 
@@ -54,7 +60,6 @@
     [[nodiscard]] auto isVoter(const wire::NodeRecord& record) const -> bool {
         return voting.voterDisks.count(record.disk) > 0;
     }
-    auto sendState(const std::string& address) -> void;
     /// Asks for a state newer than `held`.
     auto requestState(const std::string& address, StateVersion held) -> void;
     /// Takes a newer replicated state.
@@ -80,6 +85,7 @@
     /// A voter's: a newer state than its disk holds, kept for a new epoch only.
     ReplicatedState receivedState;
     VotingMembers voting;
+    StatePublisher statePublisher;
     std::unique_ptr<Voter> voter;  // null on a node without a disk
     Microseconds now = 0;
     Microseconds wall = 0;  // calendar time as of the last tick
--- a/src/membership/node_messages.cpp
+++ b/src/membership/node_messages.cpp
@@ -1,12 +1,8 @@
 // Node: what comes from other nodes and from the voter, and what goes to them.
 #include <algorithm>
 #include <cstdint>
-#include <optional>
 #include <string>
 
-#include <fmt/format.h>
-
-#include "base/hash.hpp"
 #include "base/time.hpp"
 #include "base/version.hpp"
 #include "membership/disaster_recovery.hpp"
@@ -24,7 +20,8 @@
     }
     auto& has = envelope.__isset;
     if (has.heartbeat) protocol_->handleHeartbeat(envelope, now);
-    if (has.replicatedState) handleState(envelope.replicatedState, now);
+    if (has.replicatedState) stateReceiver_.handleWhole(envelope.replicatedState, now);
+    if (has.stateChange) stateReceiver_.handleChange(envelope.stateChange, envelope.node, now);
     if (has.replicatedStateRequest) handleStateRequest(envelope.replicatedStateRequest, envelope.node);
     if (has.orderRequest) serveOrder(envelope.orderRequest, now);
     if (has.orderReply) orderClient_.answered(envelope.orderReply, context_.members.own().boot, now);
@@ -44,81 +41,45 @@
 
 // ---- the replicated state
 
-/// The state in the message; nothing if it is malformed.
-static auto stateOf(const wire::ReplicatedState& message) -> std::optional<ReplicatedState> {
-    auto state = ReplicatedState();
-    if (!state.load(message.document)) return std::nullopt;
-    if (versionOf(state) != StateVersion{message.epoch, message.version}) return std::nullopt;
-    return state;
-}
-
-auto Node::handleState(const wire::ReplicatedState& message, Microseconds now) -> void {
-    if (context_.voter && !context_.voter->blank()) return handleStateAsVoter(message, now);
-    auto version = StateVersion{message.epoch, message.version};
-    if (!context_.faults.acceptOldState && version <= versionOf(context_.state)) {
-        context_.counters.add("word_old_dropped_total");
-        return;
-    }
-    auto state = stateOf(message);
-    if (state) voterApplied(*state, "", {});
-    else context_.counters.add("word_malformed_total");
-}
-
-/// A voter takes its state from its own disk only: what it says it holds must last.
-auto Node::handleStateAsVoter(const wire::ReplicatedState& message, Microseconds now) -> void {
-    auto& voter = *context_.voter;
-    auto version = StateVersion{message.epoch, message.version};
-    if (version > versionOf(context_.receivedState))
-        if (auto state = stateOf(message)) context_.receivedState = *state;
-    if (protocol_->actsOnReceivedState() && message.epoch == voter.epoch())
-        return actOnReceivedState(message, now);
-    if (message.epoch <= voter.epoch()) return;
-    // Two nodes may begin an epoch at once: a disk that voted in one of those stays with it. A later one was
-    // begun after a majority of these voters was seen to be lost.
-    auto laterEpoch = message.epoch / EPOCH_STRIDE > voter.epoch() / EPOCH_STRIDE;
-    voter.leaveCluster(laterEpoch, now);
-}
-
-/// Acts on a newer state of the voter's own epoch before its log has it, and retires the disk if the state
-/// names the voters without it.
-auto Node::actOnReceivedState(const wire::ReplicatedState& message, Microseconds now) -> void {
-    auto& voter = *context_.voter;
-    if (message.version <= context_.state.version) return;
-    auto state = stateOf(message);
-    if (!state) return;
-    auto voters = state->voters();
-    auto votes = std::any_of(voters.begin(), voters.end(),
-        [&](const VoterIdentity& identity) { return identity.disk == voter.disk(); });
-    if (!votes) {
-        auto newDiskId = hash64(context_.members.own().node, context_.random.next());
-        voter.retire(state->version, fmt::format("{:016x}", newDiskId), now);
-    }
-    voterApplied(*state, "", {});
-}
-
 auto Node::handleStateRequest(const wire::ReplicatedStateRequest& request, const std::string& from) -> void {
-    if (StateVersion{request.epoch, request.version} >= versionOf(context_.state)) return;
-    if (auto record = context_.members.find(from)) context_.sendState(record->peer);
+    if (auto record = context_.members.find(from)) context_.statePublisher.answer(record->peer, request);
 }
 
 auto Node::sendStateDown() -> void {
-    auto tree = context_.tree(context_.now);
-    for (auto& child : tree.childrenOf(context_.members.own().node)) {
+    auto children = context_.tree(context_.now).childrenOf(context_.members.own().node);
+    context_.statePublisher.keepOnly(children);
+    for (auto& child : children) {
         auto record = context_.members.find(child);
-        if (record && protocol_->sendsStateTo(*record)) context_.sendState(record->peer);
+        if (record && protocol_->sendsStateTo(*record)) context_.statePublisher.push(*record);
     }
 }
 
-auto Node::voterApplied(const ReplicatedState& state, const std::string& key, const Outcome& outcome)
-    -> void {
-    if (versionOf(state) > versionOf(context_.state) || context_.faults.acceptOldState) {
-        context_.setState(state);
-        protocol_->refreshOwnRecord();
-        if (onStateChange) onStateChange();
-        sendStateDown();
+auto Node::takeNewerState(const ReplicatedState& state) -> bool {
+    if (versionOf(state) <= versionOf(context_.state) && !context_.faults.acceptOldState) return false;
+    context_.setState(state);
+    protocol_->refreshOwnRecord();
+    return true;
+}
+
+auto Node::announceState() -> void {
+    if (onStateChange) onStateChange();
+    sendStateDown();
+    if (protocol_->announcesStateAtOnce())
         context_.nextHeartbeatAt = std::min(context_.nextHeartbeatAt, context_.now + NEW_STATE_HEARTBEAT);
+}
+
+auto Node::adoptReceived(const ReplicatedState& state, const wire::StateChange* change) -> void {
+    if (!takeNewerState(state)) return;
+    if (change) context_.statePublisher.noteSteps(*change);
+    announceState();
+}
+
+auto Node::voterApplied(const ReplicatedState& state, const AppliedEntry& applied) -> void {
+    if (takeNewerState(state)) {
+        if (applied.entry) context_.statePublisher.noteEntry(*applied.entry);
+        announceState();
     }
-    orderService_.applied(key, state.version, outcome);
+    orderService_.applied(applied.key, state.version, applied.outcome);
 }
 
 auto Node::voterSend(const std::string& disk, wire::Envelope& envelope) -> void {
--- a/src/membership/roster_membership.hpp
+++ b/src/membership/roster_membership.hpp
@@ -33,6 +33,8 @@
     [[nodiscard]] auto acknowledged(MajorityProof& proof, std::int64_t version, Microseconds now)
         -> bool override;
     [[nodiscard]] auto actsOnReceivedState() const -> bool override;
+    /// An acknowledgement waits until a majority says that it holds the state.
+    [[nodiscard]] auto announcesStateAtOnce() const -> bool override { return true; }
     [[nodiscard]] auto sendsStateTo(const wire::NodeRecord& record) const -> bool override;
     [[nodiscard]] auto lastLeader() const -> std::string override;
     [[nodiscard]] auto voteHandedOver(Microseconds now) const -> bool override;
--- a/src/modelcheck/replica.cpp
+++ b/src/modelcheck/replica.cpp
@@ -145,7 +145,7 @@
     pending_.push_back(write);
 }
 
-auto Replica::voterApplied(const ReplicatedState& state, const std::string&, const Outcome&) -> void {
+auto Replica::voterApplied(const ReplicatedState& state, const AppliedEntry&) -> void {
     output_.applied.push_back({state.version, hash64(state.text())});
 }
 
--- a/src/net/envelope_compression.cpp
+++ b/src/net/envelope_compression.cpp
@@ -1,18 +1,16 @@
 #include "net/envelope_compression.hpp"
 
-#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <utility>
-#include <zlib.h>
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include "base/compression.hpp"
 #include "base/hash.hpp"
 
 namespace duneturn {
@@ -27,8 +25,6 @@
 constexpr std::size_t MAX_ENVELOPE_BYTES = std::size_t(32) << 20;
 constexpr int MAX_NESTING = 64;
 constexpr int MAX_CONTAINER_ITEMS = 100000;
-/// Decompressed bytes are first expected to be this many times the compressed ones.
-constexpr std::size_t EXPECTED_RATIO = 4;
 
 auto thriftLimits() -> std::shared_ptr<TConfiguration> {
     return std::make_shared<TConfiguration>(int(MAX_ENVELOPE_BYTES), int(MAX_ENVELOPE_BYTES), MAX_NESTING);
@@ -64,39 +60,6 @@
     }
 }
 
-/// None if zlib fails.
-auto deflateBytes(const std::string& bytes) -> std::optional<std::string> {
-    auto length = compressBound(bytes.size());
-    auto compressed = std::string(length, 0);
-    auto result = compress2(reinterpret_cast<Bytef*>(compressed.data()), &length,
-        reinterpret_cast<const Bytef*>(bytes.data()), bytes.size(), Z_BEST_SPEED);
-    if (result != Z_OK) return std::nullopt;
-    compressed.resize(length);
-    return compressed;
-}
-
-/// None if the bytes are not whole or hold more than the longest envelope.
-auto inflateBytes(std::string compressed) -> std::optional<std::string> {
-    auto stream = z_stream();
-    stream.next_in = reinterpret_cast<Bytef*>(compressed.data());
-    stream.avail_in = uInt(compressed.size());
-    if (inflateInit(&stream) != Z_OK) return std::nullopt;
-    auto bytes = std::string();
-    auto result = Z_OK;
-    while (result == Z_OK && bytes.size() < MAX_ENVELOPE_BYTES) {
-        auto length = bytes.size();
-        auto room = std::max(compressed.size() * EXPECTED_RATIO, length * 2);
-        bytes.resize(std::min(MAX_ENVELOPE_BYTES, room));
-        stream.next_out = reinterpret_cast<Bytef*>(bytes.data() + length);
-        stream.avail_out = uInt(bytes.size() - length);
-        result = inflate(&stream, Z_NO_FLUSH);
-        bytes.resize(bytes.size() - stream.avail_out);
-    }
-    inflateEnd(&stream);
-    if (result != Z_STREAM_END) return std::nullopt;
-    return bytes;
-}
-
 }  // namespace
 
 auto EnvelopeCompressor::operator()(const wire::Envelope& envelope) -> std::optional<wire::Envelope> {
@@ -124,7 +87,7 @@
 }
 
 auto decompressEnvelope(const wire::Envelope& envelope) -> std::optional<wire::Envelope> {
-    auto bytes = inflateBytes(envelope.compressed);
+    auto bytes = inflateBytes(envelope.compressed, MAX_ENVELOPE_BYTES);
     if (!bytes) return std::nullopt;
     auto content = deserialize(*bytes);
     if (!content) return std::nullopt;
--- a/src/state/command.hpp
+++ b/src/state/command.hpp
@@ -18,6 +18,12 @@
     std::shared_ptr<const Configuration> configuration;
 };
 
+/// Changes the configuration in part, in the form of config_change.hpp. Replicas before this command read
+/// it as unknown, so it is logged only when all voters have stated that they read it (encodeCompact).
+struct ChangeConfiguration {
+    std::shared_ptr<const JsonFragment> change;
+};
+
 /// Evacuates a zone, or ends its evacuation.
 struct SetEvacuation {
     std::string zone;
@@ -55,8 +61,8 @@
     std::string name;
 };
 
-using Command = std::variant<ReplaceConfiguration, SetEvacuation, ScheduleOperation, CancelOperation,
-    BeginOperation, ChangeRoster, UnknownCommand>;
+using Command = std::variant<ReplaceConfiguration, ChangeConfiguration, SetEvacuation, ScheduleOperation,
+    CancelOperation, BeginOperation, ChangeRoster, UnknownCommand>;
 
 /// A command as an entry of the log holds it.
 struct LoggedCommand {
--- a/src/state/command_codec.cpp
+++ b/src/state/command_codec.cpp
@@ -1,20 +1,34 @@
 #include "state/command_codec.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
+#include "base/compression.hpp"
 #include "base/json.hpp"
+#include "state/config_change.hpp"
+#include "state/replicated_state.hpp"
 
 namespace duneturn {
 
 namespace {
 
+/// The name of the operation that changes a configuration in part, and of the member that holds the change.
+constexpr auto CHANGE = "change";
+/// The first byte of a compressed entry; that of one in JSON is '{'.
+constexpr auto COMPRESSED_MARK = 'Z';
+/// Shorter texts are not compressed.
+constexpr auto COMPRESSION_MIN_BYTES = std::size_t(4096);
+/// The longest entry that is read, decompressed.
+constexpr auto MAX_ENTRY_BYTES = std::size_t(32) << 20;
+
 /// Writes one entry; the members stand in the order that the format has always had.
 class CommandWriter {
   public:
@@ -32,6 +46,11 @@
         member("base", base_);
         member("config", command.configuration->json());
     }
+    auto operator()(const ChangeConfiguration& command) -> void {
+        member("op", CHANGE);
+        member("base", base_);
+        member(CHANGE, command.change->value());
+    }
     auto operator()(const SetEvacuation& command) -> void {
         member("op", command.evacuated ? "empty" : "give-back");
         if (command.revision) member("revision", *command.revision);
@@ -86,11 +105,7 @@
     return command;
 }
 
-}  // namespace
-
-auto encodeCommand(const LoggedCommand& entry) -> std::string { return CommandWriter().write(entry); }
-
-auto decodeCommand(const std::string& text) -> std::optional<LoggedCommand> {
+auto decodeText(const std::string& text) -> std::optional<LoggedCommand> {
     auto object = rapidjson::Document();
     if (!parseJson(text, object) || !object.IsObject()) return std::nullopt;
     auto entry = LoggedCommand();
@@ -100,6 +115,40 @@
     return entry;
 }
 
+/// The change that makes the command's configuration of the one in force; none if the command is no
+/// replacement of that one, or a change would not be shorter than `document`, which holds the whole.
+auto shorterChange(const ReplicatedState& state, const LoggedCommand& entry, const std::string& document)
+    -> std::optional<LoggedCommand> {
+    auto replace = std::get_if<ReplaceConfiguration>(&entry.command);
+    if (!replace || entry.base != state.configVersion()) return std::nullopt;
+    auto change = configChange(state.config(), replace->configuration->json());
+    if (!change || change->size() >= document.size()) return std::nullopt;
+    auto value = rapidjson::Document();
+    if (!parseJson(*change, value)) return std::nullopt;
+    return LoggedCommand{
+        entry.key, entry.base, ChangeConfiguration{std::make_shared<const JsonFragment>(value)}};
+}
+
+}  // namespace
+
+auto encodeCommand(const LoggedCommand& entry) -> std::string { return CommandWriter().write(entry); }
+
+auto encodeCompact(const ReplicatedState& state, const LoggedCommand& entry) -> EncodedCommand {
+    auto encoded = EncodedCommand{encodeCommand(entry), EntryForm::Document};
+    if (auto change = shorterChange(state, entry, encoded.body))
+        encoded = {encodeCommand(*change), EntryForm::Compact};
+    if (encoded.body.size() < COMPRESSION_MIN_BYTES) return encoded;
+    auto compressed = deflateBytes(encoded.body);
+    if (!compressed || compressed->size() >= encoded.body.size()) return encoded;
+    return {COMPRESSED_MARK + *compressed, EntryForm::Compact};
+}
+
+auto decodeCommand(const std::string& entry) -> std::optional<LoggedCommand> {
+    if (entry.empty() || entry.front() != COMPRESSED_MARK) return decodeText(entry);
+    auto text = inflateBytes(std::string_view(entry).substr(1), MAX_ENTRY_BYTES);
+    return text ? decodeText(*text) : std::nullopt;
+}
+
 auto readCommand(const rapidjson::Value& object) -> Command {
     auto name = jsonString(object, "op");
     if (name == "config") {
@@ -107,6 +156,11 @@
         if (!configuration || !configuration->IsObject()) return UnknownCommand{name};
         return ReplaceConfiguration{std::make_shared<const Configuration>(*configuration)};
     }
+    if (name == CHANGE) {
+        auto change = jsonMember(object, CHANGE);
+        if (!change || !change->IsObject()) return UnknownCommand{name};
+        return ChangeConfiguration{std::make_shared<const JsonFragment>(*change)};
+    }
     if (name == "empty") return readEvacuation(object, true);
     if (name == "give-back") return readEvacuation(object, false);
     if (name == "book") {
--- a/src/state/command_request.cpp
+++ b/src/state/command_request.cpp
@@ -165,8 +165,8 @@
 
 }  // namespace
 
-auto orderPrepare(const ReplicatedState& state, const std::string& operation, const std::string& key,
-    const std::string& body, Microseconds wall) -> tl::expected<std::string, OrderRefusal> {
+auto prepareCommand(const ReplicatedState& state, const std::string& operation, const std::string& key,
+    const std::string& body, Microseconds wall) -> tl::expected<LoggedCommand, OrderRefusal> {
     auto request = rapidjson::Document();
     if (!parseJson(body.empty() ? "{}" : body, request)) return refused(400, {{"/", "malformed JSON"}});
     if (!request.IsObject()) return refused(422, {{"/", "wants an object"}});
@@ -181,7 +181,12 @@
     // A patch applied to another version than it names must lose, not win by chance.
     if (isMerge && base != state.configVersion())
         return tl::make_unexpected(OrderRefusal{state.baseRefusal(base), true});
-    return encodeCommand({key, base, std::move(*command)});
+    return LoggedCommand{key, base, std::move(*command)};
+}
+
+auto orderPrepare(const ReplicatedState& state, const std::string& operation, const std::string& key,
+    const std::string& body, Microseconds wall) -> tl::expected<std::string, OrderRefusal> {
+    return prepareCommand(state, operation, key, body, wall).map(encodeCommand);
 }
 
 }  // namespace duneturn
--- a/src/state/command_request.hpp
+++ b/src/state/command_request.hpp
@@ -6,6 +6,7 @@
 #include <tl/expected.hpp>
 
 #include "base/time.hpp"
+#include "state/command.hpp"
 #include "state/outcome.hpp"
 
 namespace duneturn {
@@ -17,9 +18,13 @@
     bool dependsOnState = false;  // on another state the same command might be accepted
 };
 
-/// The log entry's text of an operator's request, or its refusal. `operation` names the command ("config",
+/// The command of an operator's request, or its refusal. `operation` names the command ("config",
 /// "merge", "empty", "give-back", "book", "cancel", "fire", "roster"), `key` is its idempotency key, `body`
 /// its JSON as the operator sent it, `wall` the calendar time.
+[[nodiscard]] auto prepareCommand(const ReplicatedState& state, const std::string& operation,
+    const std::string& key, const std::string& body, Microseconds wall)
+    -> tl::expected<LoggedCommand, OrderRefusal>;
+/// The same as the text of a log entry that every version reads.
 [[nodiscard]] auto orderPrepare(const ReplicatedState& state, const std::string& operation,
     const std::string& key, const std::string& body, Microseconds wall)
     -> tl::expected<std::string, OrderRefusal>;
--- a/src/state/configuration.hpp
+++ b/src/state/configuration.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "base/json.hpp"
+#include "base/json_digest.hpp"
 #include "state/json_fragment.hpp"
 
 namespace duneturn {
@@ -15,16 +16,19 @@
     static auto empty() -> std::shared_ptr<const Configuration>;
     /// A copy of a JSON object, which the caller has validated.
     explicit Configuration(const rapidjson::Value& configuration)
-        : document_(configuration, JsonFragment::Length::Long) {}
+        : document_(configuration, JsonFragment::Length::Long), digest_(jsonDigest(json())) {}
 
     [[nodiscard]] auto json() const -> const rapidjson::Value& { return document_.value(); }
     /// The operator's own document and its version; null if the configuration names none.
     [[nodiscard]] auto origin() const -> const rapidjson::Value* { return jsonMember(json(), "origin"); }
+    /// jsonDigest of json().
+    [[nodiscard]] auto digest() const -> std::uint64_t { return digest_; }
     /// The version that the operator's own document bears; 0 if there is none.
     [[nodiscard]] auto documentVersion() const -> std::int64_t;
 
   private:
     JsonFragment document_;
+    std::uint64_t digest_;
 };
 
 }  // namespace duneturn
--- a/src/state/replicated_state.cpp
+++ b/src/state/replicated_state.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <utility>
 #include <variant>
@@ -11,6 +12,7 @@
 
 #include "base/json.hpp"
 #include "state/command_codec.hpp"
+#include "state/config_change.hpp"
 #include "state/state_codec.hpp"
 
 namespace duneturn {
@@ -89,17 +91,20 @@
 
 auto ReplicatedState::apply(const std::string& entry) -> Outcome {
     auto logged = decodeCommand(entry);
-    if (!logged) return refusal(422, "not an order");
-    if (auto known = outcomes_.accepted(logged->key); known.status) return known;
-    if (auto known = outcomes_.refused(logged->key, logged->base); known.status) return known;
+    return logged ? apply(*logged) : refusal(422, "not an order");
+}
+
+auto ReplicatedState::apply(const LoggedCommand& entry) -> Outcome {
+    if (auto known = outcomes_.accepted(entry.key); known.status) return known;
+    if (auto known = outcomes_.refused(entry.key, entry.base); known.status) return known;
     auto versionBefore = configVersion_;
-    auto outcome = perform(*logged);
+    auto outcome = perform(entry);
     if (outcome.accepted()) {
         version++;
         // The outcome names the version that carries it, as the last member of its body.
         outcome.body.insert(outcome.body.size() - 1, fmt::format(",\"generation\":{}", version));
     }
-    keepOutcome(*logged, configVersion_ != versionBefore, outcome);
+    keepOutcome(entry, configVersion_ != versionBefore, outcome);
     return outcome;
 }
 
@@ -113,13 +118,27 @@
 }
 
 auto ReplicatedState::perform(const LoggedCommand& entry) -> Outcome {
-    auto replaces = std::holds_alternative<ReplaceConfiguration>(entry.command);
-    if (replaces && entry.base != configVersion_) return baseRefusal(entry.base);
+    auto rests = std::holds_alternative<ReplaceConfiguration>(entry.command)
+        || std::holds_alternative<ChangeConfiguration>(entry.command);
+    if (rests && entry.base != configVersion_) return baseRefusal(entry.base);
     return std::visit([this](const auto& command) { return perform(command); }, entry.command);
 }
 
 auto ReplicatedState::perform(const ReplaceConfiguration& command) -> Outcome {
-    configuration_ = command.configuration;
+    return setConfiguration(command.configuration);
+}
+
+/// A change that does not fit is refused, with the configuration as it was, alike on every replica.
+auto ReplicatedState::perform(const ChangeConfiguration& command) -> Outcome {
+    auto changed = rapidjson::Document();
+    changed.CopyFrom(config(), changed.GetAllocator());
+    auto applied = applyConfigChange(changed, command.change->value());
+    if (!applied) return refusal(422, "the change does not fit the configuration: " + applied.error());
+    return setConfiguration(std::make_shared<const Configuration>(changed));
+}
+
+auto ReplicatedState::setConfiguration(std::shared_ptr<const Configuration> configuration) -> Outcome {
+    configuration_ = std::move(configuration);
     configVersion_++;
     return {200, bodyOf({{"configGeneration", fmt::to_string(configVersion_)}})};
 }
--- a/src/state/replicated_state.hpp
+++ b/src/state/replicated_state.hpp
@@ -45,6 +45,7 @@
 
     /// Applies one entry of the log. The same entry on the same state gives the same outcome anywhere.
     auto apply(const std::string& entry) -> Outcome;
+    auto apply(const LoggedCommand& entry) -> Outcome;
     /// Applies a committed change of the voters: the next version of the state.
     auto applyVoters(const std::vector<VoterIdentity>& voters) -> void;
     /// Begins another epoch with these voters, on top of all that is held here.
@@ -88,6 +89,7 @@
     /// Performs a command, and leaves the state's version to its caller.
     auto perform(const LoggedCommand& entry) -> Outcome;
     auto perform(const ReplaceConfiguration& command) -> Outcome;
+    auto perform(const ChangeConfiguration& command) -> Outcome;
     auto perform(const SetEvacuation& command) -> Outcome;
     auto perform(const ScheduleOperation& command) -> Outcome;
     auto perform(const CancelOperation& command) -> Outcome;
@@ -95,6 +97,7 @@
     auto perform(const ChangeRoster& command) -> Outcome;
     auto perform(const UnknownCommand& command) -> Outcome;
     auto performScheduled(const Command& command) -> Outcome;
+    auto setConfiguration(std::shared_ptr<const Configuration> configuration) -> Outcome;
     auto keepOutcome(const LoggedCommand& entry, bool configurationChanged, const Outcome& outcome) -> void;
 
     std::shared_ptr<const Configuration> configuration_ = Configuration::empty();  // never null
--- a/src/storage/record_codec.hpp
+++ b/src/storage/record_codec.hpp
@@ -13,8 +13,10 @@
 
 namespace duneturn {
 
-/// The newest format of the records that this program reads and writes.
-constexpr std::int32_t FORMAT = 1;
+/// The newest format of the records that this program reads and writes. A store is of format 1 until it is
+/// written an entry that programs of format 1 cannot read (ENTRY_COMPACT), and of format 2 from then on.
+constexpr std::int32_t FORMAT = 2;
+constexpr std::int32_t FIRST_FORMAT = 1;
 
 /// The keys of the record of the voter (term, vote and the like) and of the snapshot.
 constexpr auto META_KEY = std::string_view("meta");
--- a/src/storage/state_reader.cpp
+++ b/src/storage/state_reader.cpp
@@ -1,5 +1,6 @@
 #include "storage/state_reader.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -8,8 +9,6 @@
 
 #include <fmt/format.h>
 
-#include "storage/record_codec.hpp"
-
 namespace duneturn {
 
 auto StateReader::fail(std::string record, std::string why) -> void {
@@ -33,6 +32,7 @@
             fmt::format("written in format {}, this program knows {}", meta.format, FORMAT));
         fault_->newerFormat = true;
     }
+    format_ = std::max(meta.format, FIRST_FORMAT);
     copyVoterFields(meta, state_);
     sawMeta_ = true;
 }
--- a/src/storage/state_reader.hpp
+++ b/src/storage/state_reader.hpp
@@ -1,10 +1,12 @@
 #pragma once
 // Reads a voter's state from the records of its store, and finds what is wrong with them.
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include "consensus/disk.hpp"
+#include "storage/record_codec.hpp"
 
 namespace duneturn {
 
@@ -24,6 +26,8 @@
     [[nodiscard]] auto take(std::string_view key, std::string_view sealed) -> bool;
     /// Checks what only all records together can show, and gives the state that they hold.
     [[nodiscard]] auto finish() -> DiskState;
+    /// The format that the voter's record states; FIRST_FORMAT before it was taken.
+    [[nodiscard]] auto format() const -> std::int32_t { return format_; }
     /// What is wrong; known after finish().
     [[nodiscard]] auto fault() const -> const std::optional<RecordFault>& { return fault_; }
 
@@ -35,6 +39,7 @@
     auto fail(std::string record, std::string why) -> void;
 
     DiskState state_;
+    std::int32_t format_ = FIRST_FORMAT;
     bool sawMeta_ = false;
     std::optional<RecordFault> fault_;
 };
--- a/src/storage/store.cpp
+++ b/src/storage/store.cpp
@@ -16,6 +16,7 @@
 #include "base/json.hpp"
 #include "base/log.hpp"
 #include "base/time.hpp"
+#include "consensus/configuration.hpp"
 #include "storage/record_codec.hpp"
 #include "storage/state_reader.hpp"
 
@@ -41,10 +42,10 @@
         StoreError{fmt::format("{}: {}", what, environmentErrorText(error)), kindOf(error), FILE_RECORD});
 }
 
-auto metaRecord(const DiskState& state) -> std::string {
+auto metaRecord(const DiskState& state, std::int32_t format) -> std::string {
     auto meta = wire::Meta();
     copyVoterFields(state, meta);
-    meta.format = FORMAT;
+    meta.format = format;
     return packRecord(meta);
 }
 
@@ -133,6 +134,7 @@
         [&](std::string_view key, std::string_view sealed) { return reader.take(key, sealed); });
     if (error) return unexpected("read", error);
     auto state = reader.finish();
+    format_ = reader.format();
     auto& fault = reader.fault();
     if (!fault) return state;
     auto kind = fault->newerFormat ? StoreError::Kind::NewerFormat : StoreError::Kind::Damaged;
@@ -161,6 +163,8 @@
     auto change =
         Change{write, write.reset || carried_.reset, replacesSnapshot ? write.hasSnapshot : carried_.snapshot,
             replacesSnapshot ? write.document : carried_.document};
+    auto isCompact = [](const wire::Entry& entry) { return entry.kind == ENTRY_COMPACT; };
+    if (std::any_of(write.entries.begin(), write.entries.end(), isCompact)) format_ = FORMAT;
     auto error = syncNames();
     if (!error && !environment_) error = openFile();
     if (!error) error = contentsDoubted_ ? MDB_MAP_FULL : commit(change);
@@ -190,13 +194,13 @@
 }
 
 /// What a change adds, whatever it drops.
-auto putAdded(Transaction& transaction, bool snapshot, const std::string& document, const DiskWrite& write)
-    -> void {
+auto putAdded(Transaction& transaction, bool snapshot, const std::string& document, const DiskWrite& write,
+    std::int32_t format) -> void {
     for (auto& entry : write.entries)
         if (!snapshot || entry.index > write.meta.snapshotIndex)
             putRecord(transaction, entryKey(entry.index), packRecord(entry));
     if (snapshot) putRecord(transaction, SNAPSHOT_KEY, document);
-    putRecord(transaction, META_KEY, metaRecord(write.meta));
+    putRecord(transaction, META_KEY, metaRecord(write.meta, format));
 }
 
 }  // namespace
@@ -208,7 +212,7 @@
         if (write.truncateFrom >= 0)
             transaction.eraseRange(entryKey(write.truncateFrom), entryKey(INT64_MAX));
         if (change.snapshot) transaction.eraseRange(entryKey(0), entryKey(write.meta.snapshotIndex));
-        putAdded(transaction, change.snapshot, change.document, write);
+        putAdded(transaction, change.snapshot, change.document, write, format_);
     });
     if (!error) error = files_.syncFile(path(), environment_->descriptor());
     // A sync that failed may have dropped pages that are read back from the cache all the same.
@@ -263,7 +267,7 @@
     if (!failure) flush();
     if (failure || !change) return failure;
     return target.change([&](Transaction& transaction) {
-        putAdded(transaction, change->snapshot, change->document, change->write);
+        putAdded(transaction, change->snapshot, change->document, change->write, format_);
     });
 }
 
--- a/src/storage/store.hpp
+++ b/src/storage/store.hpp
@@ -10,6 +10,7 @@
 
 #include "consensus/disk.hpp"
 #include "storage/environment.hpp"
+#include "storage/record_codec.hpp"
 
 namespace duneturn {
 
@@ -92,8 +93,9 @@
     StoreLimits limits_;
     std::unique_ptr<Environment> environment_;
     std::string directory_;
-    bool namesUnsynced_ = false;    // a rename may still be lost with the power
-    bool contentsDoubted_ = false;  // a sync failed: the file may lack what the cache shows
+    bool namesUnsynced_ = false;          // a rename may still be lost with the power
+    bool contentsDoubted_ = false;        // a sync failed: the file may lack what the cache shows
+    std::int32_t format_ = FIRST_FORMAT;  // of the records, as the next write states it
     CarriedOver carried_;
     std::optional<StoreError> damage_;
     std::int64_t rewrites_ = 0;
--- a/tests/consensus/consensus_membership_test.cpp
+++ b/tests/consensus/consensus_membership_test.cpp
@@ -284,6 +284,28 @@
     CHECK(cluster.until([&] { return cluster.votersOf(cluster.leader()).count("d") > 0; }, 10 * SECOND));
 }
 
+// A program that reads no compact commands is sent none, and the leader logs none while one such answers.
+TEST(ConsensusMembership, compactCommandsWaitForAllVoters) {
+    auto cluster = ConsensusFixture();
+    cluster.drop = [](const std::string& to, wire::Envelope& message) {
+        message.appendEntriesReply.knowsCompact =
+            message.appendEntriesReply.knowsCompact && message.disk != "c";
+        // The earlier program refuses an entry of a kind that it does not know.
+        for (auto& entry : message.appendEntries.entries) CHECK(to != "c" || entry.kind != ENTRY_COMPACT);
+        return false;
+    };
+    cluster.bootstrap({"a", "b", "c"});
+    cluster.lead("a");
+    CHECK(!cluster.at("a").allReadCompact());
+    // One that was logged all the same, by a leader that had not heard of it, goes to the others only.
+    CHECK(cluster.at("a").propose(ENTRY_COMPACT, R"({"key":"x","op":"empty","district":"z"})", cluster.now));
+    CHECK(cluster.until([&] { return cluster.at("b").replicatedState().evacuated("z"); }, SECOND));
+    CHECK(!cluster.at("c").replicatedState().evacuated("z"));
+    cluster.drop = nullptr;  // it is upgraded
+    CHECK(cluster.until([&] { return cluster.at("c").replicatedState().evacuated("z"); }, 2 * SECOND));
+    CHECK(cluster.at("a").allReadCompact());
+}
+
 // The replaced voter gives its content up, then another disk is lost: whatever was acknowledged
 // must be there, and somebody must lead. `early`: by a change that is not committed.
 static auto survivesRetiring(bool early, const std::string& victim) -> bool {
--- a/tests/storage/stored_format_test.cpp
+++ b/tests/storage/stored_format_test.cpp
@@ -362,6 +362,43 @@
     CHECK(before == *readFile(directory.path + STORE_FILE));
 }
 
+// A store is of the first format, which the program before this one reads, until it is written an entry that
+// that program does not know.
+TEST(StoredFormat, compactEntryRaisesTheFormat) {
+    auto directory = TemporaryDirectory();
+    copyPinnedStore(directory.path);
+    auto formatOf = [&] {
+        for (auto& [key, sealed] : dumpStore(directory.path)) {
+            auto meta = wire::Meta();
+            if (key == META_KEY && unpackRecord(*openRecord(key, sealed), meta)) return meta.format;
+        }
+        return 0;
+    };
+    auto append = [&](std::int32_t kind, const std::string& body) {
+        auto store = Store();
+        auto write = DiskWrite();
+        auto state = store.open(directory.path);
+        CHECK(bool(state));
+        auto entry = wire::Entry();
+        entry.term = 9;
+        entry.index = state->log.back().index + 1;
+        entry.kind = kind;
+        entry.body = body;
+        write.meta = *state;
+        write.entries.push_back(entry);
+        CHECK(bool(store.write(write)));
+    };
+    CHECK_EQ(FIRST_FORMAT, formatOf());
+    append(ENTRY_ORDER, "{}");
+    CHECK_EQ(FIRST_FORMAT, formatOf());
+    append(ENTRY_COMPACT, "Z");
+    CHECK_EQ(FORMAT, formatOf());
+    append(ENTRY_ORDER, "{}");  // by a later life
+    CHECK_EQ(FORMAT, formatOf());
+    auto state = openSound(directory.path);
+    CHECK_EQ(std::string("Z"), state.log[state.log.size() - 2].body);
+}
+
 // ---- the entries by which voters are replaced
 
 TEST(StoredFormat, voterEntriesAreWritten) {
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -21,11 +21,17 @@
   16: string disk, 17: bool blank, 18: i64 term, 19: bool leader, 20: bool ready,
   21: bool stopping, 22: i64 want,
   // Learnt membership: the count of this life's changes, and how long ago the teller heard of it.
-  23: i64 version, 24: i64 age
+  23: i64 version, 24: i64 age,
+  // This node reads StateChange and compressed documents.
+  25: optional bool readsChanges
 }
 
-// The sign that a node lives and that its row is still the one of this version.
-struct HeartbeatPulse { 1: string node, 2: i64 boot, 3: i64 heartbeat, 4: i64 version }
+// The sign that a node lives and that its record is still the one of this version, but for `stateVersion`.
+// Where that is not told, the node's state is of the same version as the sender's own, which the sender's own
+// pulse or record in the same message tells (of senders that read StateChange).
+struct HeartbeatPulse {
+  1: string node, 2: i64 boot, 3: i64 heartbeat, 4: i64 version, 5: optional i64 stateVersion
+}
 
 // A server as the platform listed it. Told again under a lease; never logged.
 struct ServerListing {
@@ -48,9 +54,17 @@
   7: i64 listingNumber, 8: i64 listingBase = -1
 }
 
-// The operator's word: everything an operator ordered, as one document.
-struct ReplicatedState { 1: i64 epoch, 2: i64 version, 3: string document }
-struct ReplicatedStateRequest { 1: i64 epoch, 2: i64 version }
+// The replicated state as one document: in `compressed` (zlib's format) for a node that reads it there,
+// otherwise in `document`.
+struct ReplicatedState { 1: i64 epoch, 2: i64 version, 3: string document, 4: optional binary compressed }
+// Asks for what is newer than this version; `readsChanges`: as in NodeRecord.
+struct ReplicatedStateRequest { 1: i64 epoch, 2: i64 version, 3: optional bool readsChanges }
+
+// What made `version` of the replicated state of the version before it: the body and the kind of an entry of
+// the log, a command or a change of the voters.
+struct StateStep { 1: i64 version, 2: i32 kind, 3: binary body }
+// The steps from version `base` of an epoch on, without a gap. `digest`: of the state that the last one makes.
+struct StateChange { 1: i64 epoch, 2: i64 base, 3: list<StateStep> steps, 4: i64 digest }
 
 // `boot`: the life of the node that asks; its answer names it again, so that an answer to an earlier
 // life of that node is known as such.
@@ -73,11 +87,11 @@
   1: i64 term, 2: i64 prevLogIndex, 3: i64 prevLogTerm, 4: list<Entry> entries,
   5: i64 commit, 6: i64 round
 }
-// `knowsJoint`: this voter reads joint configurations; `rejectHint`: with
-// ok = false the last index that may match; `prevLogIndex`: of what was rejected.
+// `knowsJoint`: this voter reads joint configurations; `knowsCompact`: it reads commands in the compact
+// form; `rejectHint`: with ok = false the last index that may match; `prevLogIndex`: of what was rejected.
 struct AppendEntriesReply {
   1: i64 term, 2: bool ok, 3: i64 match, 4: i64 rejectHint, 5: i64 round, 6: bool knowsJoint,
-  7: i64 prevLogIndex
+  7: i64 prevLogIndex, 8: optional bool knowsCompact
 }
 struct InstallSnapshot {
   1: i64 term, 2: i64 lastIncludedIndex, 3: i64 lastIncludedTerm, 4: string document, 5: i64 round
@@ -105,7 +119,8 @@
   15: optional InstallSnapshot installSnapshot, 16: optional TimeoutNow timeoutNow,
   // This envelope whole, in the compact protocol and zlib's format; told to wire 2 and above.
   17: optional binary compressed,
-  30: optional SnapshotChunk snapshotChunk, 31: optional SnapshotChunkReply snapshotChunkReply
+  30: optional SnapshotChunk snapshotChunk, 31: optional SnapshotChunkReply snapshotChunkReply,
+  32: optional StateChange stateChange
 }
 
 service Peer { oneway void tell(1: Envelope e) }
