--- a/src/base/json_digest.cpp
+++ b/src/base/json_digest.cpp
@@ -34,6 +34,7 @@
 
     [[nodiscard]] auto digest() const -> std::uint64_t { return XXH3_64bits_digest(state_.get()); }
 
+    // NOLINTBEGIN(readability-identifier-naming): RapidJSON's names
     auto Null() -> bool { return token(Token::Null); }
     auto Bool(bool value) -> bool { return token(value ? Token::True : Token::False); }
     auto Int(int value) -> bool { return Int64(value); }
@@ -61,6 +62,7 @@
     auto EndObject(rapidjson::SizeType) -> bool { return token(Token::EndObject); }
     auto StartArray() -> bool { return token(Token::BeginArray); }
     auto EndArray(rapidjson::SizeType) -> bool { return token(Token::EndArray); }
+    // NOLINTEND(readability-identifier-naming)
 
   private:
     auto token(Token next) -> bool {
--- a/src/consensus/voter.cpp
+++ b/src/consensus/voter.cpp
@@ -37,7 +37,10 @@
     snapshot_ = {state.snapshotIndex, state.snapshotTerm,
         std::make_shared<const std::string>(std::move(state.snapshotDocument)), replicatedState_.voters()};
     log_.reset(snapshot_.index, snapshot_.term);
-    for (auto& entry : state.log) log_.append(std::move(entry));
+    for (auto& entry : state.log) {
+        log_.append(entry);
+        entry.body = std::string();  // so that no entry is held twice for long
+    }
     lastApplied_ = snapshot_.index;
     lastSynced_ = last();
     commitIndex_ = std::min(std::max(commitIndex_, snapshot_.index), last());
--- a/src/membership/state_history.cpp
+++ b/src/membership/state_history.cpp
@@ -3,7 +3,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <utility>
 #include <vector>
 
 namespace duneturn {
@@ -14,12 +13,12 @@
     bytes_ = 0;
 }
 
-auto StateHistory::record(std::int64_t epoch, wire::StateStep step) -> void {
+auto StateHistory::record(std::int64_t epoch, const wire::StateStep& step) -> void {
     auto newest = base_.version + std::int64_t(steps_.size());
     if (epoch == base_.epoch && step.version <= newest) return;
     if (epoch != base_.epoch || step.version != newest + 1) restart({epoch, step.version - 1});
     bytes_ += step.body.size();
-    steps_.push_back(std::move(step));
+    steps_.push_back(step);
     while (steps_.size() > MAX_STEPS || bytes_ > MAX_BYTES) {
         bytes_ -= steps_.front().body.size();
         steps_.pop_front();
--- a/src/membership/state_history.hpp
+++ b/src/membership/state_history.hpp
@@ -21,7 +21,7 @@
 
     /// Adds the step that made `step.version` in `epoch`. One that does not follow the newest one, or is of
     /// another epoch, takes the place of all that was kept; one that is not newer is passed over.
-    auto record(std::int64_t epoch, wire::StateStep step) -> void;
+    auto record(std::int64_t epoch, const wire::StateStep& step) -> void;
     /// The steps from `base` up to the newest version; none if they are not all kept, or there are none.
     [[nodiscard]] auto since(StateVersion base) const -> std::optional<std::vector<wire::StateStep>>;
 
--- a/src/membership/state_publisher.cpp
+++ b/src/membership/state_publisher.cpp
@@ -33,7 +33,7 @@
     step.version = context_.state.version;
     step.kind = entry.kind;
     step.body = entry.body;
-    history_.record(context_.state.epoch, std::move(step));
+    history_.record(context_.state.epoch, step);
 }
 
 auto StatePublisher::noteSteps(const wire::StateChange& change) -> void {
