--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -10,7 +10,7 @@
 
 readonly LAYERS="base
 net state
-consensus
+consensus quota
 control storage modelcheck
 membership
 routing
--- /dev/null
+++ b/src/quota/quota_ledger.hpp
@@ -0,0 +1,63 @@
+#pragma once
+// The granter's side of the tenants' quotas: how many tokens every node holds, how many were spent when, and
+// how many more may be granted. Logic only. docs/quotas.md proves the bound.
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/counters.hpp"
+#include "base/time.hpp"
+#include "quota/quota_limits.hpp"
+#include "state/tenants.hpp"
+#include "wire_types.h"
+
+namespace duneturn {
+
+/// What operators see of one tenant.
+struct QuotaView {
+    std::string tenant;
+    double limit = 0;              ///< Requests in a window, burst included.
+    double bound = 0;              ///< What must never be exceeded in a window.
+    std::int64_t spent = 0;        ///< In the last window, over all nodes.
+    std::int64_t outstanding = 0;  ///< Tokens that nodes hold, and those of predecessors that may be spent.
+    std::int64_t refused = 0;      ///< Waiting requests that got no token in this term.
+};
+
+/// The ledger of one granter's term. Between two calls: for every tenant, the tokens that may still be spent and
+/// those that were spent within the last window are together at most the tenant's bound.
+class QuotaLedger {
+  public:
+    /// `predecessors`: what a majority of voters knew of earlier terms, the newest image; `age`: since a voter had
+    /// it. Null if too few of them remember: then nothing is granted until all that may have been granted
+    /// before has lapsed.
+    QuotaLedger(std::int64_t term, const wire::QuotaImage* predecessors, Microseconds age, Counters& counters,
+        Microseconds now);
+
+    /// The tenants of the configuration in force.
+    auto setTenants(const TenantTable& tenants, Microseconds now) -> void;
+    /// Answers a node's report. A report that is not newer than one already taken changes nothing.
+    [[nodiscard]] auto take(const std::string& node, const wire::QuotaReport& report, Microseconds now)
+        -> wire::QuotaGrant;
+    /// Forgets what has left the window and the tokens of nodes that were silent for too long.
+    auto tick(Microseconds now) -> void;
+
+    /// The image for the other voters; its sequence rises with each call. It includes a reserve: so many tokens
+    /// may be granted before a later image must be held by a majority.
+    [[nodiscard]] auto image(Microseconds now) -> wire::QuotaImage;
+    /// A majority of the voters holds this image, which was sent at `sentAt`.
+    auto imageHeld(std::int64_t sequence, Microseconds sentAt) -> void;
+    /// Whether the newest such image is recent enough for reports to be answered.
+    [[nodiscard]] auto hasAuthority(Microseconds now) const -> bool;
+    /// Whether tokens were granted or spent since the last image.
+    [[nodiscard]] auto imageDue(Microseconds now) const -> bool;
+
+    [[nodiscard]] auto term() const -> std::int64_t { return term_; }
+    [[nodiscard]] auto views(Microseconds now) const -> std::vector<QuotaView>;
+
+  private:
+    std::int64_t term_;
+    Counters& counters_;
+};
+
+}  // namespace duneturn
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -71,6 +71,36 @@
 struct OrderRequest { 1: i64 id, 2: string back, 3: string body, 4: bool readback, 5: i64 boot }
 struct OrderReply { 1: i64 id, 2: i32 status, 3: string body, 4: i64 boot }
 
+// Tenants' quotas (src/quota/). A token is the right to run one request. `term` orders granters: the epoch in
+// the upper 32 bits, the voters' term below. Counts rise from the node's first report of its life `boot`
+// in this term; `carried`: the tokens that it brought along into the term; `spent` and `returned`: of these and
+// of granted ones; `waiting`: requests that wait for a token; `wanted`: what it would like to hold.
+struct QuotaUse {
+  1: string tenant, 2: i64 carried, 3: i64 spent, 4: i64 returned, 5: i64 waiting, 6: i64 wanted
+}
+// `sequence`: rises with each report of a life. `granter`: for whom this is; another node passes it on once.
+struct QuotaReport {
+  1: i64 boot, 2: i64 sequence, 3: i64 term, 4: list<QuotaUse> uses, 5: string granter, 6: string node
+}
+// `granted`: in all since the node's first report in this term. `scarce`: what isn't needed now is to be
+// returned. `refused`: those who wait get no token now.
+struct QuotaAllowance { 1: string tenant, 2: i64 granted, 3: bool scarce, 4: bool refused }
+// Answers the report `sequence` of `node`; with 0 it only says who grants now. A lease runs from that report.
+struct QuotaGrant {
+  1: string node, 2: i64 boot, 3: i64 sequence, 4: i64 term, 5: list<QuotaAllowance> allowances, 6: string granter
+}
+// What a granter's successor has to reckon with: `outstanding` tokens may be spent at any time, `spent` ones
+// count by their age in steps of QUOTA_AGE_STEP.
+struct QuotaTenantImage { 1: string tenant, 2: i64 outstanding, 3: list<i64> spent }
+struct QuotaImage { 1: i64 term, 2: i64 sequence, 3: list<QuotaTenantImage> tenants }
+// This voter holds the image, and follows no granter of a lower term.
+struct QuotaImageReply { 1: i64 term, 2: i64 sequence }
+// A new granter asks what its predecessors granted; whoever answers follows no lower term any more.
+struct QuotaImageRequest { 1: i64 term }
+// `known`: this voter has run for longer than anything granted before its start can count. `age`: since it
+// received the image, which has the sequence 0 if there is none.
+struct QuotaImageAnswer { 1: i64 term, 2: bool known, 3: QuotaImage image, 4: i64 age }
+
 struct CreditGrant { 1: string node, 2: i64 boot, 3: i64 seq, 4: i64 credit }
 
 struct Entry { 1: i64 term, 2: i64 index, 3: i32 kind, 4: string body }
@@ -120,7 +150,10 @@
   // This envelope whole, in the compact protocol and zlib's format; told to wire 2 and above.
   17: optional binary compressed,
   30: optional SnapshotChunk snapshotChunk, 31: optional SnapshotChunkReply snapshotChunkReply,
-  32: optional StateChange stateChange
+  32: optional StateChange stateChange,
+  33: optional QuotaReport quotaReport, 34: optional QuotaGrant quotaGrant,
+  35: optional QuotaImage quotaImage, 36: optional QuotaImageReply quotaImageReply,
+  37: optional QuotaImageRequest quotaImageRequest, 38: optional QuotaImageAnswer quotaImageAnswer
 }
 
 service Peer { oneway void tell(1: Envelope e) }
