--- /dev/null
+++ b/src/membership/quota_service.hpp
@@ -0,0 +1,104 @@
+#pragma once
+// The tenants' quotas among nodes: a node's account and its reports on their way to the granter, and on the
+// leader of the voters the granter itself, whose ledger a majority of voters mirrors. docs/quotas.md.
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/time.hpp"
+#include "consensus/configuration.hpp"
+#include "membership/node_context.hpp"
+#include "quota/quota_account.hpp"
+#include "quota/quota_ledger.hpp"
+#include "quota/quota_replica.hpp"
+#include "wire_types.h"
+
+namespace duneturn {
+
+/// Grants tokens while this node leads the voters.
+///
+/// A new granter first asks the voters what its predecessors granted. A majority promises to follow no lower
+/// term, and one of it holds the newest image that any predecessor could rely on.
+class QuotaGranter {
+  public:
+    explicit QuotaGranter(NodeContext& context) : context_(context) {}
+
+    auto setTenants(const TenantTable& tenants) -> void;
+    auto tick() -> void;
+    auto handleReport(const wire::QuotaReport& report, const std::string& from) -> void;
+    auto handleImage(const wire::QuotaImage& image, const std::string& from) -> void;
+    auto handleImageReply(const wire::QuotaImageReply& reply, const std::string& disk) -> void;
+    auto handleImageRequest(const wire::QuotaImageRequest& request, const std::string& from) -> void;
+    auto handleImageAnswer(const wire::QuotaImageAnswer& answer, const std::string& disk) -> void;
+    /// Whether this node grants now.
+    [[nodiscard]] auto isActive() const -> bool { return ledger_.has_value(); }
+    [[nodiscard]] auto ledger() const -> const std::optional<QuotaLedger>& { return ledger_; }
+    /// The term of this node's leadership, as granters are ordered; 0 if it does not lead.
+    [[nodiscard]] auto leaderTerm() const -> std::int64_t;
+
+  private:
+    struct SentImage {
+        std::int64_t sequence = 0;
+        Microseconds sentAt = 0;
+    };
+    auto beginTerm(std::int64_t term) -> void;
+    auto collect() -> void;
+    auto activate(const wire::QuotaImage* predecessors, Microseconds age) -> void;
+    auto announce() -> void;
+    auto sendImage() -> void;
+    auto noteHeld() -> void;
+    [[nodiscard]] auto voters() const -> VoterConfiguration;
+    [[nodiscard]] auto isMajority(const std::set<std::string>& disks) const -> bool;
+    auto sendToVoters(wire::Envelope& envelope) -> void;
+    [[nodiscard]] auto window() const -> Microseconds;
+    auto replica() -> QuotaReplica&;
+
+    NodeContext& context_;
+    std::optional<QuotaReplica> replica_;
+    std::optional<QuotaLedger> ledger_;
+    std::int64_t term_ = 0;  // that is being collected for, or granted in; 0: none
+    Microseconds askedAt_ = 0, promisedAt_ = 0;
+    std::map<std::string, wire::QuotaImageAnswer> answers_;   // by disk
+    std::map<std::string, Microseconds> answeredAt_;          // by disk
+    std::map<std::string, std::int64_t> heldSequences_;       // the newest image that a disk's voter holds
+    std::vector<SentImage> sentImages_;                       // that no majority holds yet, oldest first
+    Microseconds imageSentAt_ = 0;
+};
+
+/// The quotas at one node.
+class QuotaService {
+  public:
+    explicit QuotaService(NodeContext& context);
+
+    /// The replicated state held here has changed.
+    auto stateChanged() -> void;
+    auto tick() -> void;
+    auto handle(const wire::Envelope& envelope) -> void;
+
+    [[nodiscard]] auto account() -> QuotaAccount& { return account_; }
+    /// The limits as JSON, for operators: this node's tokens, and the ledger on the granter.
+    [[nodiscard]] auto viewJson() const -> std::string;
+    /// Called when the granter has answered, so that waiting requests may go on.
+    std::function<void()> onAnswer;
+
+  private:
+    auto sendReport() -> void;
+    auto handleReport(const wire::QuotaReport& report, const std::string& from) -> void;
+    auto handleGrant(const wire::QuotaGrant& grant, const std::string& from) -> void;
+    [[nodiscard]] auto granterNode() const -> std::string;
+    [[nodiscard]] auto relayTo(const std::string& granter) -> std::string;
+    auto sendTo(const std::string& node, wire::Envelope& envelope) -> void;
+
+    NodeContext& context_;
+    QuotaAccount account_;
+    QuotaGranter granter_;
+    std::shared_ptr<const Configuration> configuration_;
+    Microseconds unansweredSince_ = 0;  // when the oldest report was sent that got no answer; 0: none
+};
+
+}  // namespace duneturn
--- a/src/quota/quota_account.hpp
+++ b/src/quota/quota_account.hpp
@@ -26,11 +26,12 @@
     Refused,  ///< Its tenant is beyond its limit.
 };
 
-/// Tokens are granted by one node for all (QuotaLedger), and lapse when it is not heard for QUOTA_LEASE. Each is
-/// spent once, or returned.
+/// Tokens are granted by one node for all (QuotaLedger), and lapse when it is not heard for QUOTA_LEASE. Each
+/// is spent once, or returned.
 class QuotaAccount {
   public:
-    QuotaAccount(std::int64_t boot, Counters& counters) : boot_(boot), counters_(counters) {}
+    /// `life`: a random number that no other process has.
+    QuotaAccount(std::int64_t life, Counters& counters) : life_(life), counters_(counters) {}
 
     /// The tenants of the configuration in force. Tokens of tenants that are no longer limited are returned.
     auto setTenants(const TenantTable& tenants, Microseconds now) -> void;
@@ -52,7 +53,7 @@
     [[nodiscard]] auto reportDue(Microseconds now) const -> bool;
     /// The next report, to be sent now.
     [[nodiscard]] auto report(Microseconds now) -> wire::QuotaReport;
-    /// Takes a granter's answer; false if it is of a lower term than one that was taken, or of another life.
+    /// Takes a granter's answer; false if it is of a lower term than one that was taken, or for another life.
     auto take(const wire::QuotaGrant& grant, Microseconds now) -> bool;
 
     /// The granter of the highest term that was heard; empty if none was.
@@ -64,7 +65,7 @@
     [[nodiscard]] auto available(const std::string& tenant, Microseconds now) const -> std::int64_t;
 
   private:
-    std::int64_t boot_;
+    std::int64_t life_;
     Counters& counters_;
     std::int64_t term_ = 0;
     std::string granter_;
--- a/src/quota/quota_ledger.hpp
+++ b/src/quota/quota_ledger.hpp
@@ -24,26 +24,27 @@
     std::int64_t refused = 0;      ///< Waiting requests that got no token in this term.
 };
 
-/// The ledger of one granter's term. Between two calls: for every tenant, the tokens that may still be spent and
-/// those that were spent within the last window are together at most the tenant's bound.
+/// The ledger of one granter's term. Between two calls: for every tenant, the tokens that may still be spent
+/// and those that were spent within the last window are together at most the tenant's bound.
 class QuotaLedger {
   public:
-    /// `predecessors`: what a majority of voters knew of earlier terms, the newest image; `age`: since a voter had
-    /// it. Null if too few of them remember: then nothing is granted until all that may have been granted
-    /// before has lapsed.
+    /// `predecessors`: what a majority of voters knew of earlier terms, the newest image; `age`: since a
+    /// voter had it. Null if too few of them remember: then nothing is granted until all that may have been
+    /// granted before has lapsed.
     QuotaLedger(std::int64_t term, const wire::QuotaImage* predecessors, Microseconds age, Counters& counters,
         Microseconds now);
 
     /// The tenants of the configuration in force.
     auto setTenants(const TenantTable& tenants, Microseconds now) -> void;
-    /// Answers a node's report. A report that is not newer than one already taken changes nothing.
+    /// Answers a node's report. One that is not newer than another of the same node and life changes nothing.
+    /// Each life of a node holds tokens of its own.
     [[nodiscard]] auto take(const std::string& node, const wire::QuotaReport& report, Microseconds now)
         -> wire::QuotaGrant;
     /// Forgets what has left the window and the tokens of nodes that were silent for too long.
     auto tick(Microseconds now) -> void;
 
-    /// The image for the other voters; its sequence rises with each call. It includes a reserve: so many tokens
-    /// may be granted before a later image must be held by a majority.
+    /// The image for the other voters; its sequence rises with each call. It includes a reserve: so many
+    /// tokens may be granted before a later image must be held by a majority.
     [[nodiscard]] auto image(Microseconds now) -> wire::QuotaImage;
     /// A majority of the voters holds this image, which was sent at `sentAt`.
     auto imageHeld(std::int64_t sequence, Microseconds sentAt) -> void;
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -72,22 +72,22 @@
 struct OrderReply { 1: i64 id, 2: i32 status, 3: string body, 4: i64 boot }
 
 // Tenants' quotas (src/quota/). A token is the right to run one request. `term` orders granters: the epoch in
-// the upper 32 bits, the voters' term below. Counts rise from the node's first report of its life `boot`
-// in this term; `carried`: the tokens that it brought along into the term; `spent` and `returned`: of these and
+// the upper 32 bits, the voters' term below. `life`: a random number of the process.
+// Counts rise from its first report in this term; `carried`: the tokens that it brought along into the term; `spent` and `returned`: of these and
 // of granted ones; `waiting`: requests that wait for a token; `wanted`: what it would like to hold.
 struct QuotaUse {
   1: string tenant, 2: i64 carried, 3: i64 spent, 4: i64 returned, 5: i64 waiting, 6: i64 wanted
 }
 // `sequence`: rises with each report of a life. `granter`: for whom this is; another node passes it on once.
 struct QuotaReport {
-  1: i64 boot, 2: i64 sequence, 3: i64 term, 4: list<QuotaUse> uses, 5: string granter, 6: string node
+  1: i64 life, 2: i64 sequence, 3: i64 term, 4: list<QuotaUse> uses, 5: string granter, 6: string node
 }
 // `granted`: in all since the node's first report in this term. `scarce`: what isn't needed now is to be
 // returned. `refused`: those who wait get no token now.
 struct QuotaAllowance { 1: string tenant, 2: i64 granted, 3: bool scarce, 4: bool refused }
 // Answers the report `sequence` of `node`; with 0 it only says who grants now. A lease runs from that report.
 struct QuotaGrant {
-  1: string node, 2: i64 boot, 3: i64 sequence, 4: i64 term, 5: list<QuotaAllowance> allowances, 6: string granter
+  1: string node, 2: i64 life, 3: i64 sequence, 4: i64 term, 5: list<QuotaAllowance> allowances, 6: string granter
 }
 // What a granter's successor has to reckon with: `outstanding` tokens may be spent at any time, `spent` ones
 // count by their age in steps of QUOTA_AGE_STEP.
