--- /dev/null
+++ b/src/quota/quota_account.cpp
@@ -0,0 +1,197 @@
+#include "quota/quota_account.hpp"
+
+#include <algorithm>
+
+namespace duneturn {
+namespace {
+
+/// What rejected clients are asked to wait: as long as it takes to refill a part of a bucket.
+constexpr Microseconds RETRY_AFTER = 1 * SECOND;
+
+}  // namespace
+
+auto QuotaAccount::setTenants(const TenantTable& tenants, Microseconds now) -> void {
+    lapseIfDue(now);
+    for (auto& [name, account] : accounts_) {
+        auto tenant = tenants.find(name);
+        account.limited = tenant && tenant->isLimited();
+        if (!account.limited) voidTokens(account);
+    }
+    for (auto& [name, tenant] : tenants.all())
+        if (tenant.isLimited()) accounts_[name].limited = true;
+}
+
+auto QuotaAccount::findLimited(const std::string& tenant) -> TenantAccount* {
+    auto found = accounts_.find(tenant);
+    return found == accounts_.end() || !found->second.limited ? nullptr : &found->second;
+}
+
+auto QuotaAccount::voidTokens(TenantAccount& account) -> void {
+    account.voidTokens();
+    account.lease = ++leases_;
+}
+
+// The clock counts the time that the process was stopped, so a lease has lapsed when it wakes up.
+auto QuotaAccount::lapseIfDue(Microseconds now) -> void {
+    if (!leaseUntil_ || !isLeaseOver(now) || broken.spendWithoutLease) return;
+    leaseUntil_ = 0;
+    for (auto& [name, account] : accounts_) {
+        if (account.held() > 0) counters_.add("quota_tokens_lapsed_total", account.held());
+        voidTokens(account);
+    }
+}
+
+// ---- requests
+
+auto QuotaAccount::takeToken(
+    TenantAccount& account, const std::string& tenant, QuotaReservation& reservation) -> bool {
+    if (!account.reserve()) return false;
+    reservation.tenant = tenant;
+    reservation.lease = account.lease;
+    return true;
+}
+
+auto QuotaAccount::reserve(const std::string& tenant, QuotaReservation& reservation, Microseconds now)
+    -> QuotaAnswer {
+    reservation = {};
+    lapseIfDue(now);
+    auto account = findLimited(tenant);
+    if (!account) return QuotaAnswer::Granted;
+    account->noteRequest(now);
+    if (takeToken(*account, tenant, reservation)) return QuotaAnswer::Granted;
+    if (now < account->refusedUntil) return QuotaAnswer::Refused;
+    account->waiting++;
+    return QuotaAnswer::Wait;
+}
+
+auto QuotaAccount::reserveWaiting(
+    const std::string& tenant, QuotaReservation& reservation, Microseconds now) -> QuotaAnswer {
+    reservation = {};
+    lapseIfDue(now);
+    auto account = findLimited(tenant);
+    if (account && !takeToken(*account, tenant, reservation)) {
+        if (now >= account->refusedUntil) return QuotaAnswer::Wait;
+        stopWaiting(tenant);
+        return QuotaAnswer::Refused;
+    }
+    stopWaiting(tenant);
+    return QuotaAnswer::Granted;
+}
+
+auto QuotaAccount::stopWaiting(const std::string& tenant) -> void {
+    auto found = accounts_.find(tenant);
+    if (found == accounts_.end() || found->second.waiting <= 0) return;
+    auto& account = found->second;
+    account.waiting--;
+    account.waitingSent = std::min(account.waitingSent, account.waiting);
+}
+
+auto QuotaAccount::spend(const QuotaReservation& reservation, Microseconds now) -> bool {
+    if (reservation.tenant.empty()) return true;
+    lapseIfDue(now);
+    auto account = findLimited(reservation.tenant);
+    if (!account) return true;
+    if (account->lease != reservation.lease) return false;
+    account->spend();
+    return true;
+}
+
+auto QuotaAccount::giveBack(const QuotaReservation& reservation, Microseconds now) -> void {
+    if (reservation.tenant.empty()) return;
+    lapseIfDue(now);
+    auto account = findLimited(reservation.tenant);
+    if (account && account->lease == reservation.lease) account->giveBack();
+}
+
+// ---- reports
+
+auto QuotaAccount::mustName(const TenantAccount& account, const std::string& tenant) const -> bool {
+    auto answered = answeredVersions_.find(tenant);
+    auto isKnown = answered != answeredVersions_.end() && answered->second == account.version();
+    return account.waiting > 0 || (account.version() > 0 && !isKnown);
+}
+
+auto QuotaAccount::reportDue(Microseconds now) const -> bool {
+    auto since = now - reportedAt_;
+    if (reportedAt_ && since < QUOTA_REPORT_SPACING) return false;
+    auto waits = false, hasNews = reportSoon_, isInUse = false;
+    for (auto& [name, account] : accounts_) {
+        waits = waits || account.waiting > 0;
+        hasNews = hasNews || account.waiting > account.waitingSent;
+        isInUse = isInUse || account.held() > 0 || mustName(account, name);
+    }
+    if (hasNews) return true;
+    if (waits && since >= QUOTA_WAITING_INTERVAL) return true;
+    return isInUse && since >= QUOTA_REPORT_INTERVAL;
+}
+
+auto QuotaAccount::report(Microseconds now) -> wire::QuotaReport {
+    lapseIfDue(now);
+    auto report = wire::QuotaReport();
+    report.life = life_;
+    report.sequence = ++sequence_;
+    report.term = term_;
+    auto sent = SentReport{sequence_, now, {}};
+    for (auto& [name, account] : accounts_) {
+        if (account.limited) account.adjustStock(now);
+        account.waitingSent = account.waiting;
+        if (!mustName(account, name)) continue;
+        report.uses.push_back(account.use());
+        report.uses.back().tenant = name;
+        sent.uses.push_back({name, account.version(), account.spent()});
+    }
+    reportedAt_ = now;
+    reportSoon_ = false;
+    while (!sentReports_.empty() && now - sentReports_.front().sentAt > QUOTA_LEASE) sentReports_.pop_front();
+    sentReports_.push_back(std::move(sent));
+    return report;
+}
+
+auto QuotaAccount::take(const wire::QuotaGrant& grant, Microseconds now) -> bool {
+    lapseIfDue(now);
+    if (grant.term < term_ && !broken.takeLowerTerm) return false;
+    if (grant.sequence && grant.life != life_) return false;
+    if (grant.term != term_) beginTerm(grant);
+    granter_ = grant.granter;
+    if (grant.sequence <= answeredSequence_) return true;
+    while (!sentReports_.empty() && sentReports_.front().sequence < grant.sequence) sentReports_.pop_front();
+    if (sentReports_.empty() || sentReports_.front().sequence != grant.sequence) return true;
+    answeredSequence_ = grant.sequence;
+    answeredAt_ = now;
+    leaseUntil_ = std::max(leaseUntil_, sentReports_.front().sentAt + QUOTA_LEASE);
+    acknowledge(sentReports_.front());
+    sentReports_.pop_front();
+    for (auto& allowance : grant.allowances) accounts_[allowance.tenant].take(allowance, now);
+    lapseIfDue(now);
+    return true;
+}
+
+auto QuotaAccount::acknowledge(const SentReport& report) -> void {
+    for (auto& use : report.uses) {
+        accounts_[use.tenant].acknowledge(use.spent);
+        auto& answered = answeredVersions_[use.tenant];
+        answered = std::max(answered, use.version);
+    }
+}
+
+// Tokens stay usable under the lease of the earlier term; the new granter learns of them by the next report.
+auto QuotaAccount::beginTerm(const wire::QuotaGrant& grant) -> void {
+    term_ = grant.term;
+    sentReports_.clear();
+    for (auto& [name, account] : accounts_) {
+        account.beginTerm(broken.forgetCarried);
+        reportSoon_ = reportSoon_ || account.waiting > 0 || account.held() > 0;
+    }
+}
+
+auto QuotaAccount::available(const std::string& tenant, Microseconds now) const -> std::int64_t {
+    auto found = accounts_.find(tenant);
+    return found == accounts_.end() || isLeaseOver(now) ? 0 : found->second.available();
+}
+
+auto QuotaAccount::retryAfter(const std::string& tenant, Microseconds now) const -> Microseconds {
+    auto found = accounts_.find(tenant);
+    return found != accounts_.end() && now < found->second.refusedUntil ? RETRY_AFTER : 0;
+}
+
+}  // namespace duneturn
--- a/src/quota/quota_account.hpp
+++ b/src/quota/quota_account.hpp
@@ -2,12 +2,16 @@
 // A node's side of the tenants' quotas: the tokens that it may spend, the requests that wait for one, and the
 // reports by which it asks the granter for more. Logic only.
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "base/counters.hpp"
 #include "base/time.hpp"
+#include "quota/quota_faults.hpp"
 #include "quota/quota_limits.hpp"
+#include "quota/tenant_account.hpp"
 #include "state/tenants.hpp"
 #include "wire_types.h"
 
@@ -26,8 +30,8 @@
     Refused,  ///< Its tenant is beyond its limit.
 };
 
-/// Tokens are granted by one node for all (QuotaLedger), and lapse when it is not heard for QUOTA_LEASE. Each
-/// is spent once, or returned.
+/// Tokens are granted by one node for all (QuotaLedger), and lapse when it has not answered for QUOTA_LEASE.
+/// Each is spent once, or returned.
 class QuotaAccount {
   public:
     /// `life`: a random number that no other process has.
@@ -56,7 +60,7 @@
     /// Takes a granter's answer; false if it is of a lower term than one that was taken, or for another life.
     auto take(const wire::QuotaGrant& grant, Microseconds now) -> bool;
 
-    /// The granter of the highest term that was heard; empty if none was.
+    /// The granter of the highest term that is known; empty if none is.
     [[nodiscard]] auto granter() const -> const std::string& { return granter_; }
     [[nodiscard]] auto term() const -> std::int64_t { return term_; }
     /// When the granter last answered a report; 0 if never.
@@ -64,12 +68,45 @@
     /// Tokens of a tenant that no request holds, for operators.
     [[nodiscard]] auto available(const std::string& tenant, Microseconds now) const -> std::int64_t;
 
+    /// How long a rejected client should wait before it asks again.
+    [[nodiscard]] auto retryAfter(const std::string& tenant, Microseconds now) const -> Microseconds;
+
+    /// Test-only faults.
+    QuotaFaults broken;
+
   private:
+    /// What a report said of one tenant.
+    struct SentUse {
+        std::string tenant;
+        std::int64_t version = 0, spent = 0;
+    };
+    struct SentReport {
+        std::int64_t sequence = 0;
+        Microseconds sentAt = 0;
+        std::vector<SentUse> uses;
+    };
+    auto findLimited(const std::string& tenant) -> TenantAccount*;
+    auto lapseIfDue(Microseconds now) -> void;
+    auto beginTerm(const wire::QuotaGrant& grant) -> void;
+    auto acknowledge(const SentReport& report) -> void;
+    auto voidTokens(TenantAccount& account) -> void;
+    auto takeToken(TenantAccount& account, const std::string& tenant, QuotaReservation& reservation) -> bool;
+    [[nodiscard]] auto mustName(const TenantAccount& account, const std::string& tenant) const -> bool;
+    [[nodiscard]] auto isLeaseOver(Microseconds now) const -> bool { return now >= leaseUntil_; }
+
     std::int64_t life_;
     Counters& counters_;
     std::int64_t term_ = 0;
     std::string granter_;
     Microseconds answeredAt_ = 0;
+    std::map<std::string, TenantAccount> accounts_;         // by tenant; kept when its limit is removed
+    std::map<std::string, std::int64_t> answeredVersions_;  // of the accounts, as the granter knows them
+    std::deque<SentReport> sentReports_;                    // without an answer, oldest first
+    std::int64_t sequence_ = 0, answeredSequence_ = 0;
+    std::int64_t leases_ = 0;      // numbers that were used
+    Microseconds leaseUntil_ = 0;  // 0: no tokens may be used
+    Microseconds reportedAt_ = 0;
+    bool reportSoon_ = false;  // without waiting for the interval
 };
 
 }  // namespace duneturn
--- a/src/quota/quota_ledger.hpp
+++ b/src/quota/quota_ledger.hpp
@@ -8,7 +8,9 @@
 
 #include "base/counters.hpp"
 #include "base/time.hpp"
+#include "quota/quota_faults.hpp"
 #include "quota/quota_limits.hpp"
+#include "quota/tenant_ledger.hpp"
 #include "state/tenants.hpp"
 #include "wire_types.h"
 
@@ -28,6 +30,8 @@
 /// and those that were spent within the last window are together at most the tenant's bound.
 class QuotaLedger {
   public:
+    QuotaLedger(const QuotaLedger&) = delete;  // its tenants refer to its faults
+    auto operator=(const QuotaLedger&) -> QuotaLedger& = delete;
     /// `predecessors`: what a majority of voters knew of earlier terms, the newest image; `age`: since a
     /// voter had it. Null if too few of them remember: then nothing is granted until all that may have been
     /// granted before has lapsed.
@@ -56,9 +60,47 @@
     [[nodiscard]] auto term() const -> std::int64_t { return term_; }
     [[nodiscard]] auto views(Microseconds now) const -> std::vector<QuotaView>;
 
+    /// Test-only faults.
+    QuotaFaults broken;
+
   private:
+    /// One node's tokens of one tenant, in counts that rise within the term.
+    struct Holding {
+        std::int64_t carried = 0, granted = 0, spent = 0, returned = 0;
+        std::int64_t charged = 0;  ///< Of the held tokens, those that the bucket was charged for.
+        std::int64_t lapsed = 0;   ///< Tokens that lapsed, and of which nothing was reported since,
+        Microseconds lapsedAt = 0;
+        [[nodiscard]] auto held() const -> std::int64_t { return carried + granted - spent - returned; }
+    };
+    /// One life of a node.
+    struct Holder {
+        std::int64_t sequence = 0;  ///< Of its newest report,
+        Microseconds answeredAt = 0;
+        bool hasLapsed = false;
+        std::map<std::string, Holding> holdings;  // by tenant
+    };
+    [[nodiscard]] auto announcement(const std::string& node) const -> wire::QuotaGrant;
+    auto tenantLedger(const std::string& tenant) -> TenantLedger&;
+    auto openHolding(Holder& holder, const wire::QuotaUse& use, TenantLedger& tenant) -> Holding&;
+    auto takeUse(Holding& holding, const wire::QuotaUse& use, TenantLedger& tenant, Microseconds now) -> void;
+    auto raiseGranted(Holding& holding, const wire::QuotaUse& use, TenantLedger& tenant) -> void;
+    auto grantFor(Holding& holding, const wire::QuotaUse& use, TenantLedger& tenant, Microseconds now)
+        -> wire::QuotaAllowance;
+    auto addScarce(const Holder& holder, wire::QuotaGrant& grant) const -> void;
+    auto lapseHolder(Holder& holder, Microseconds now) -> void;
+    auto lapsePredecessors(Microseconds now) -> void;
+
     std::int64_t term_;
     Counters& counters_;
+    std::map<std::string, TenantLedger> tenants_;
+    std::map<std::int64_t, Holder> holders_;  // by life
+    Microseconds predecessorsLapseAt_;
+    bool predecessorsLapsed_ = false;
+    bool predecessorsUnknown_;
+    std::int64_t imageSequence_ = 0;
+    Microseconds imageMadeAt_ = 0, heldImageSentAt_ = 0;
+    Microseconds scarceAt_ = 0;
+    std::vector<std::string> scarce_;  // tenants, as of scarceAt_
 };
 
 }  // namespace duneturn
--- a/src/quota/quota_replica.hpp
+++ b/src/quota/quota_replica.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include "base/time.hpp"
+#include "quota/quota_faults.hpp"
 #include "quota/quota_limits.hpp"
 #include "wire_types.h"
 
@@ -21,6 +22,9 @@
     [[nodiscard]] auto promise(
         std::int64_t term, Microseconds window, wire::QuotaImageAnswer& answer, Microseconds now) -> bool;
 
+    /// Test-only faults.
+    QuotaFaults broken;
+
   private:
     Microseconds startedAt_;
     std::int64_t promised_ = 0;
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -73,16 +73,18 @@
 
 // Tenants' quotas (src/quota/). A token is the right to run one request. `term` orders granters: the epoch in
 // the upper 32 bits, the voters' term below. `life`: a random number of the process.
-// Counts rise from its first report in this term; `carried`: the tokens that it brought along into the term; `spent` and `returned`: of these and
-// of granted ones; `waiting`: requests that wait for a token; `wanted`: what it would like to hold.
+// Counts are those of its life in this term, and rise. `carried`: the tokens that it brought along into the term,
+// and those that it spent before without an answer; `spent` and `returned`: of these and of granted ones;
+// `waiting`: requests that wait for a token; `wanted`: what it would like to hold beside those.
+// `granted`: as the node knows it, which shows what is still on its way to it.
 struct QuotaUse {
-  1: string tenant, 2: i64 carried, 3: i64 spent, 4: i64 returned, 5: i64 waiting, 6: i64 wanted
+  1: string tenant, 2: i64 carried, 3: i64 spent, 4: i64 returned, 5: i64 waiting, 6: i64 wanted, 7: i64 granted
 }
 // `sequence`: rises with each report of a life. `granter`: for whom this is; another node passes it on once.
 struct QuotaReport {
   1: i64 life, 2: i64 sequence, 3: i64 term, 4: list<QuotaUse> uses, 5: string granter, 6: string node
 }
-// `granted`: in all since the node's first report in this term. `scarce`: what isn't needed now is to be
+// `granted`: in all to this life in this term, without what it carried along. `scarce`: what isn't needed now is to be
 // returned. `refused`: those who wait get no token now.
 struct QuotaAllowance { 1: string tenant, 2: i64 granted, 3: bool scarce, 4: bool refused }
 // Answers the report `sequence` of `node`; with 0 it only says who grants now. A lease runs from that report.
