--- a/src/quota/demand_estimate.cpp
+++ b/src/quota/demand_estimate.cpp
@@ -9,8 +9,8 @@
 constexpr Microseconds LONG_TIME = 20 * SECOND;
 /// How long a stock has to last: a report's interval and its way there and back.
 constexpr double STOCK_SECONDS = 0.7;
-/// From so many requests in the long time on a single token is worth holding.
-constexpr double LEAST_REQUESTS = 1.2;
+/// From so many requests in the long time on, one token is worth holding.
+constexpr double LEAST_REQUESTS = 0.5;
 /// From so many requests a second on more than one.
 constexpr double MANY_PER_SECOND = 1;
 
--- a/src/quota/quota_account.cpp
+++ b/src/quota/quota_account.cpp
@@ -43,8 +43,8 @@
 
 // ---- requests
 
-auto QuotaAccount::takeToken(
-    TenantAccount& account, const std::string& tenant, QuotaReservation& reservation) -> bool {
+auto QuotaAccount::takeToken(TenantAccount& account, const std::string& tenant, QuotaReservation& reservation)
+    -> bool {
     if (!account.reserve()) return false;
     reservation.tenant = tenant;
     reservation.lease = account.lease;
@@ -61,11 +61,13 @@
     if (takeToken(*account, tenant, reservation)) return QuotaAnswer::Granted;
     if (now < account->refusedUntil) return QuotaAnswer::Refused;
     account->waiting++;
+    waiting_++;
+    reportSoon_ = true;
     return QuotaAnswer::Wait;
 }
 
-auto QuotaAccount::reserveWaiting(
-    const std::string& tenant, QuotaReservation& reservation, Microseconds now) -> QuotaAnswer {
+auto QuotaAccount::reserveWaiting(const std::string& tenant, QuotaReservation& reservation, Microseconds now)
+    -> QuotaAnswer {
     reservation = {};
     lapseIfDue(now);
     auto account = findLimited(tenant);
@@ -81,9 +83,8 @@
 auto QuotaAccount::stopWaiting(const std::string& tenant) -> void {
     auto found = accounts_.find(tenant);
     if (found == accounts_.end() || found->second.waiting <= 0) return;
-    auto& account = found->second;
-    account.waiting--;
-    account.waitingSent = std::min(account.waitingSent, account.waiting);
+    found->second.waiting--;
+    waiting_--;
 }
 
 auto QuotaAccount::spend(const QuotaReservation& reservation, Microseconds now) -> bool {
@@ -100,29 +101,19 @@
     if (reservation.tenant.empty()) return;
     lapseIfDue(now);
     auto account = findLimited(reservation.tenant);
-    if (account && account->lease == reservation.lease) account->giveBack();
+    if (account && account->lease == reservation.lease) account->release();
 }
 
 // ---- reports
 
-auto QuotaAccount::mustName(const TenantAccount& account, const std::string& tenant) const -> bool {
-    auto answered = answeredVersions_.find(tenant);
-    auto isKnown = answered != answeredVersions_.end() && answered->second == account.version();
-    return account.waiting > 0 || (account.version() > 0 && !isKnown);
-}
-
 auto QuotaAccount::reportDue(Microseconds now) const -> bool {
     auto since = now - reportedAt_;
     if (reportedAt_ && since < QUOTA_REPORT_SPACING) return false;
-    auto waits = false, hasNews = reportSoon_, isInUse = false;
-    for (auto& [name, account] : accounts_) {
-        waits = waits || account.waiting > 0;
-        hasNews = hasNews || account.waiting > account.waitingSent;
-        isInUse = isInUse || account.held() > 0 || mustName(account, name);
-    }
-    if (hasNews) return true;
-    if (waits && since >= QUOTA_WAITING_INTERVAL) return true;
-    return isInUse && since >= QUOTA_REPORT_INTERVAL;
+    if (reportSoon_) return true;
+    if (waiting_ > 0 && since >= QUOTA_WAITING_INTERVAL) return true;
+    if (since < QUOTA_REPORT_INTERVAL) return false;
+    return std::any_of(accounts_.begin(), accounts_.end(),
+        [](auto& entry) { return entry.second.held() > 0 || entry.second.hasNews(); });
 }
 
 auto QuotaAccount::report(Microseconds now) -> wire::QuotaReport {
@@ -134,8 +125,7 @@
     auto sent = SentReport{sequence_, now, {}};
     for (auto& [name, account] : accounts_) {
         if (account.limited) account.adjustStock(now);
-        account.waitingSent = account.waiting;
-        if (!mustName(account, name)) continue;
+        if (!account.hasNews()) continue;
         report.uses.push_back(account.use());
         report.uses.back().tenant = name;
         sent.uses.push_back({name, account.version(), account.spent()});
@@ -167,11 +157,7 @@
 }
 
 auto QuotaAccount::acknowledge(const SentReport& report) -> void {
-    for (auto& use : report.uses) {
-        accounts_[use.tenant].acknowledge(use.spent);
-        auto& answered = answeredVersions_[use.tenant];
-        answered = std::max(answered, use.version);
-    }
+    for (auto& use : report.uses) accounts_[use.tenant].acknowledge(use.version, use.spent);
 }
 
 // Tokens stay usable under the lease of the earlier term; the new granter learns of them by the next report.
@@ -189,6 +175,12 @@
     return found == accounts_.end() || isLeaseOver(now) ? 0 : found->second.available();
 }
 
+auto QuotaAccount::outstanding(const std::string& tenant, Microseconds now) const -> std::int64_t {
+    auto found = accounts_.find(tenant);
+    auto isOver = isLeaseOver(now) && !broken.spendWithoutLease;
+    return found == accounts_.end() || isOver ? 0 : found->second.held();
+}
+
 auto QuotaAccount::retryAfter(const std::string& tenant, Microseconds now) const -> Microseconds {
     auto found = accounts_.find(tenant);
     return found != accounts_.end() && now < found->second.refusedUntil ? RETRY_AFTER : 0;
--- a/src/quota/quota_account.hpp
+++ b/src/quota/quota_account.hpp
@@ -23,10 +23,10 @@
     std::int64_t lease = 0;  ///< The number of that lease.
 };
 
-/// What a request that wants a token is told.
+/// The answer to a request that wants a token.
 enum class QuotaAnswer {
     Granted,  ///< It has a token.
-    Wait,     ///< The granter is asked; it counts as waiting until it is granted, refused or given up.
+    Wait,     ///< The granter is asked; it counts as waiting until it is granted or refused, or ends.
     Refused,  ///< Its tenant is beyond its limit.
 };
 
@@ -43,7 +43,7 @@
     /// A request asks for a token. Granted at once to a tenant without a limit.
     [[nodiscard]] auto reserve(const std::string& tenant, QuotaReservation& reservation, Microseconds now)
         -> QuotaAnswer;
-    /// The same, of a request that was told to wait.
+    /// The same, of a request that waits.
     [[nodiscard]] auto reserveWaiting(
         const std::string& tenant, QuotaReservation& reservation, Microseconds now) -> QuotaAnswer;
     /// A waiting request has ended.
@@ -68,6 +68,8 @@
     /// Tokens of a tenant that no request holds, for operators.
     [[nodiscard]] auto available(const std::string& tenant, Microseconds now) const -> std::int64_t;
 
+    /// Tokens of a tenant that may still be spent here, those that requests hold included.
+    [[nodiscard]] auto outstanding(const std::string& tenant, Microseconds now) const -> std::int64_t;
     /// How long a rejected client should wait before it asks again.
     [[nodiscard]] auto retryAfter(const std::string& tenant, Microseconds now) const -> Microseconds;
 
@@ -91,7 +93,6 @@
     auto acknowledge(const SentReport& report) -> void;
     auto voidTokens(TenantAccount& account) -> void;
     auto takeToken(TenantAccount& account, const std::string& tenant, QuotaReservation& reservation) -> bool;
-    [[nodiscard]] auto mustName(const TenantAccount& account, const std::string& tenant) const -> bool;
     [[nodiscard]] auto isLeaseOver(Microseconds now) const -> bool { return now >= leaseUntil_; }
 
     std::int64_t life_;
@@ -99,14 +100,14 @@
     std::int64_t term_ = 0;
     std::string granter_;
     Microseconds answeredAt_ = 0;
-    std::map<std::string, TenantAccount> accounts_;         // by tenant; kept when its limit is removed
-    std::map<std::string, std::int64_t> answeredVersions_;  // of the accounts, as the granter knows them
-    std::deque<SentReport> sentReports_;                    // without an answer, oldest first
+    std::map<std::string, TenantAccount> accounts_;  // by tenant; kept when its limit is removed
+    std::deque<SentReport> sentReports_;             // without an answer, oldest first
     std::int64_t sequence_ = 0, answeredSequence_ = 0;
     std::int64_t leases_ = 0;      // numbers that were used
     Microseconds leaseUntil_ = 0;  // 0: no tokens may be used
     Microseconds reportedAt_ = 0;
-    bool reportSoon_ = false;  // without waiting for the interval
+    std::int64_t waiting_ = 0;  // requests of all tenants that wait
+    bool reportSoon_ = false;   // without waiting for the interval
 };
 
 }  // namespace duneturn
--- a/src/quota/quota_limits.hpp
+++ b/src/quota/quota_limits.hpp
@@ -45,7 +45,9 @@
 constexpr double QUOTA_SCARCE_SHARE = 0.9;
 /// Below which part of its capacity a bucket counts as nearly empty.
 constexpr double QUOTA_LOW_BUCKET = 0.2;
-/// The least number of a tenant's tokens that an image reserves.
+/// An image reserves as many tokens as were granted in this time, twice,
+constexpr Microseconds QUOTA_RESERVE_TIME = 700 * MILLISECOND;
+/// and at least so many.
 constexpr int QUOTA_LEAST_RESERVE = 4;
 
 }  // namespace duneturn
--- a/src/quota/quota_replica.hpp
+++ b/src/quota/quota_replica.hpp
@@ -17,8 +17,8 @@
 
     /// Takes an image; false, and it must not be acknowledged, if a higher term was promised.
     [[nodiscard]] auto take(const wire::QuotaImage& image, Microseconds now) -> bool;
-    /// Promises to a new granter, and tells what is held; false if a higher term was promised. `window`: the
-    /// longest for which anything granted before this process's start may count, beside leases.
+    /// Promises to a new granter, and answers with what is held; false if a higher term was promised.
+    /// `window`: the longest for which anything granted before this process's start may count, beside leases.
     [[nodiscard]] auto promise(
         std::int64_t term, Microseconds window, wire::QuotaImageAnswer& answer, Microseconds now) -> bool;
 
--- a/src/quota/tenant_account.cpp
+++ b/src/quota/tenant_account.cpp
@@ -19,7 +19,7 @@
     version_++;
 }
 
-auto TenantAccount::giveBack() -> void {
+auto TenantAccount::release() -> void {
     reserved_--;
     free_++;
 }
@@ -72,7 +72,8 @@
     return use;
 }
 
-auto TenantAccount::acknowledge(std::int64_t spent) -> void {
+auto TenantAccount::acknowledge(std::int64_t version, std::int64_t spent) -> void {
+    answeredVersion_ = std::max(answeredVersion_, version);
     acknowledgedSpent_ = std::max(acknowledgedSpent_, spent);
 }
 
