Requests need a tenant's key, and servers get its tenant's name instead

Cause: nothing read the keys; the edge passed all headers on.

After the route match a key is looked up in the tenants of the configuration that the routes are of; 401 if a route that is not public gets none, several, or an unknown one; a node without configuration answers 503, an unknown path 404 first. The key's header and the client's X-Tenant are taken out at admission, with tenants or without; the key itself stays in ClientKey, which gives nothing but the tenant. A newer configuration binds what is under way: who waits is checked as soon as the configuration is held (Edge::rebindQueue), and every request once more before its first byte and before a further attempt. Refused with 401 where nothing may have run, 502 where something may; what has begun goes on under no other tenant. rebind gives a Refusal instead of a bool.

Tests: EdgeTenants, Tenants.

--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -34,25 +34,13 @@
         return request.id;
     };
     if (auto refusal = whyRefused(headers, now)) return refuse(*refusal);
-    auto index = routes_.match(method, request.received.host, path);
-    if (index < 0)
-        return refuse(routes_.configVersion ? Refusal{404, "no mapping for this path"}
-                                            : Refusal{503, "no configuration yet"});
-    request.limits.routesRevision = routes_.revision;
-    request.received.model = header(headers, dialect_.model);
-    request.route = routeFor(request.received, routes_.routes[std::size_t(index)], routes_);
+    if (auto refusal = bindAtFirst(request, headers)) return refuse(*refusal);
     // A long body may have taken a while; the client counts from the request's beginning.
     readRequest(request, headers, body, arrived > 0 ? std::min(arrived, now) : now);
     if (auto refusal = readResumption(request, now)) return refuse(*refusal);
     auto& limits = request.limits;
     limits.immovable = limits.sequenceTokens > request.route.maxSequenceTokens || !request.relayed.countable;
-    note(request,
-        fmt::format("accept: mapping {}, region {}, deadline {} us, migrations {}, sends {}{}",
-            request.route.name, request.received.region, limits.deadline - now, request.migrationsLeft(),
-            request.route.maxAttempts - request.attempts.sent,
-            limits.resumedByClient ? fmt::format(", resumed after event {} of weights {}",
-                request.relayed.lastEventId, request.relayed.weights)
-                                   : ""));
+    noteAcceptance(request, now);
     counters_.add("accepted_total");
     if (dialect_.clientNamesRequests) selection_.recordClaim(request);
     // Nobody goes ahead of those who wait for the same servers with no less urgency.
@@ -98,12 +86,32 @@
     return std::nullopt;
 }
 
+// The route and the tenant of a request that has just come in.
+auto Edge::bindAtFirst(Request& request, const Headers& headers) -> std::optional<Refusal> {
+    request.received.model = header(headers, dialect_.model);
+    request.tenant.key = ClientKey(headers, dialect_);
+    return bind(request, routes_);
+}
+
+auto Edge::noteAcceptance(Request& request, Microseconds now) -> void {
+    auto& limits = request.limits;
+    auto& tenant = request.tenant;
+    note(request,
+        fmt::format("accept: mapping {}{}, region {}, deadline {} us, migrations {}, sends {}{}",
+            request.route.name, tenant.isKnown() ? ", tenant " + tenant.name : "", request.received.region,
+            limits.deadline - now, request.migrationsLeft(),
+            request.route.maxAttempts - request.attempts.sent,
+            limits.resumedByClient ? fmt::format(", resumed after event {} of weights {}",
+                request.relayed.lastEventId, request.relayed.weights)
+                                   : ""));
+}
+
 // What the client says of its request in headers: how long it waits, and how long its prompt is.
 auto Edge::readRequest(
     Request& request, const Headers& headers, const std::string& body, Microseconds begunAt) -> void {
     auto& received = request.received;
     auto& limits = request.limits;
-    received.headers = headers;
+    received.headers = withoutTenantHeaders(headers, dialect_);
     received.body = body;
     limits.deadline = begunAt + request.route.timeout;
     if (auto text = header(headers, dialect_.deadlineMs); !text.empty())
@@ -165,7 +173,14 @@
     return true;
 }
 
+// A newer configuration binds those who wait too: it may refuse them, or change their order.
+auto Edge::rebindQueue(Microseconds now) -> void {
+    for (auto request : backlog_.inOrder())
+        if (auto refusal = rebindToNewest(*request)) fail(*request, refusal->status, refusal->why, now);
+}
+
 auto Edge::serveQueue(Microseconds now) -> void {
+    rebindQueue(now);
     auto failures = std::map<std::string, int>();
     for (auto request : backlog_.inOrder()) {
         if (now >= request->queuePlace.until) {
--- a/src/routing/completion.cpp
+++ b/src/routing/completion.cpp
@@ -7,6 +7,7 @@
 #include "base/json.hpp"
 #include "routing/edge.hpp"
 #include "routing/request_phases.hpp"
+#include "routing/route_binding.hpp"
 
 namespace duneturn {
 namespace {
@@ -36,6 +37,7 @@
         countOutcome(request, "cut");
     } else {
         replyFailure(request, status, why);
+        if (status == KEY_REFUSED) counters_.add("keys_refused_total");
         countOutcome(request, mayHaveRun ? "failed" : "denied");
     }
     finish(request, "failed: " + why, now);
--- a/src/routing/dialect.hpp
+++ b/src/routing/dialect.hpp
@@ -10,6 +10,8 @@
     std::string request = "X-Exchange-Id", notExecuted = "X-Not-Executed", weights = "X-Weights",
                 lastEvent = "Last-Event-Id", target, deadlineMs, urgency, load, serverId, coldMs, parts,
                 tokens, model;
+    std::string apiKey = "X-Api-Key";  ///< A tenant's key, from clients; never sent to servers.
+    std::string tenant = "X-Tenant";   ///< The tenant's name, to servers; never taken from clients.
     /// The client names the request, and servers repeat that name. With it come the customs of
     /// such a wire: a further try of the client's is another request, ids of events rise but not by one,
     /// and 503 is a promise that nothing ran.
--- a/src/routing/dispatch.cpp
+++ b/src/routing/dispatch.cpp
@@ -1,6 +1,7 @@
 // The attempts of a request: a server is chosen, and checked once more just before the first byte.
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -19,14 +20,13 @@
 constexpr auto UNSTATED_MEMORY_TOKENS = std::int64_t(1 << 18);  // of an engine of which nothing is said
 constexpr auto HELD_UP = 250 * MILLISECOND;  // after which a cold server is asked for a place again
 constexpr auto MAX_HELD_BACK = 3;            // attempts given up just before the first byte
-constexpr auto UNROUTED = "its mapping is no longer configured";
 
 }  // namespace
 
 // Sends a request to a server, if one may take it now. The request may have ended if none may.
 auto Edge::dispatch(Request& request, Microseconds now) -> bool {
-    if (!rebind(request, routes_, dialect_, broken)) {
-        fail(request, 503, UNROUTED, now);
+    if (auto refusal = rebindToNewest(request)) {
+        fail(request, refusal->status, refusal->why, now);
         return false;
     }
     if (!node_.withinLease(now)) {
@@ -92,10 +92,21 @@
     unread = 0;
 }
 
+// Why the newest configuration no longer lets the request be sent, if it does not.
+auto Edge::rebindToNewest(Request& request) -> std::optional<Refusal> {
+    auto tenant = request.tenant.name;
+    auto refusal = rebind(request, routes_, dialect_, broken);
+    if (request.tenant.name != tenant)
+        note(request,
+            "its key now belongs to " + (request.tenant.isKnown() ? request.tenant.name : "no tenant"));
+    return refusal;
+}
+
 // Why the request may not be sent, whatever the server.
-auto Edge::whyNoAttempt(Request& request) -> std::string {
-    if (!rebind(request, routes_, dialect_, broken)) return UNROUTED;
-    return migration_.objection(request, request.attempts.tracker.earlier(), AttemptGrant::Granted);
+auto Edge::whyNoAttempt(Request& request) -> std::optional<Refusal> {
+    if (auto refusal = rebindToNewest(request)) return refusal;
+    auto why = migration_.objection(request, request.attempts.tracker.earlier(), AttemptGrant::Granted);
+    return why.empty() ? std::nullopt : std::optional(Refusal{503, why});
 }
 
 // Why the server that was chosen may not be sent to after all.
@@ -118,11 +129,13 @@
     auto request = currentAttempt(id, attempt);
     if (!request) return false;
     // Some things no other server can mend.
-    auto why = whyNoAttempt(*request);
-    auto isFinal = !why.empty();
-    if (!isFinal) why = whyNotToServer(*request, reused, now);
-    if (!why.empty()) {
-        holdBack(*request, why, isFinal, now);
+    if (auto refusal = whyNoAttempt(*request)) {
+        giveUpAttempt(*request, refusal->why, now);
+        fail(*request, refusal->status, refusal->why, now);
+        return false;
+    }
+    if (auto why = whyNotToServer(*request, reused, now); !why.empty()) {
+        holdBack(*request, why, now);
         return false;
     }
     budget_.recordAttempt(*request, now);
@@ -141,8 +154,8 @@
     return true;
 }
 
-// The attempt ends before its first byte; another server may do.
-auto Edge::holdBack(Request& request, const std::string& why, bool isFinal, Microseconds now) -> void {
+// The attempt ends before its first byte.
+auto Edge::giveUpAttempt(Request& request, const std::string& why, Microseconds now) -> void {
     auto& attempts = request.attempts;
     note(request,
         fmt::format("+{} us held back from {}: {}", now - request.received.acceptedAt, attempts.server, why));
@@ -153,7 +166,12 @@
     attempts.tracker.startOver();
     port_.cancelAttempt(request.id, attempts.current);
     attempts.current++;
-    if (isFinal) return fail(request, 503, why, now);
+}
+
+// The attempt ends before its first byte; another server may do.
+auto Edge::holdBack(Request& request, const std::string& why, Microseconds now) -> void {
+    giveUpAttempt(request, why, now);
+    auto& attempts = request.attempts;
     if (++attempts.heldBack > MAX_HELD_BACK || now >= request.limits.deadline)
         return fail(request, 503, "no server may take it now", now);
     if (dispatch(request, now) || request.phase() == Phase::Finished) return;
@@ -187,6 +205,7 @@
     set(dialect_.deadlineMs,
         fmt::to_string(std::max<Microseconds>(1, (limits.deadline - now) / MILLISECOND)));
     set(dialect_.urgency, fmt::to_string(9 - std::clamp(request.route.urgency, 0, 9)));
+    if (request.tenant.isKnown()) set(dialect_.tenant, request.tenant.name);
     return headers;
 }
 
--- a/src/routing/edge.cpp
+++ b/src/routing/edge.cpp
@@ -39,7 +39,7 @@
     if (state.configVersion() != routes_.configVersion || state.epoch != routes_.epoch
         || routes_.routes.empty()) {
         auto revision = routes_.revision + 1;
-        routes_ = compileRoutes(state.config(), state.configVersion());
+        routes_ = compileRoutes(state.configuration(), state.configVersion());
         routes_.epoch = state.epoch;
         routes_.revision = revision;
     }
--- a/src/routing/edge.hpp
+++ b/src/routing/edge.hpp
@@ -2,6 +2,7 @@
 // The router of one node. A request passes these stages, each in a file of its own:
 //
 //   route match         route_table, route_binding   which route a request has
+//   tenant              tenant_admission             whose request it is, by its key
 //   admission, queue    admission, backlog           taken, queued by urgency, or refused
 //   candidate filters   candidate_filters, slow_start, outlier_ejection, server_selection
 //   scoring             scoring, server_statistics, prefix_cache
@@ -34,6 +35,7 @@
 #include "routing/headers.hpp"
 #include "routing/migration.hpp"
 #include "routing/prompt_prefix.hpp"
+#include "routing/refusal.hpp"
 #include "routing/request.hpp"
 #include "routing/retry_budget.hpp"
 #include "routing/route_table.hpp"
@@ -130,10 +132,6 @@
     }
 
   private:
-    struct Refusal {
-        int status;
-        std::string why;
-    };
     /// What becomes of the next event of a stream.
     enum class EventVerdict { Sound, OutOfOrder, Unsound, Uncountable };
 
@@ -141,10 +139,13 @@
     auto beginRequest(const std::string& method, const std::string& path, const Headers& headers,
         Microseconds now) -> Request&;
     [[nodiscard]] auto whyRefused(const Headers& headers, Microseconds now) const -> std::optional<Refusal>;
+    [[nodiscard]] auto bindAtFirst(Request& request, const Headers& headers) -> std::optional<Refusal>;
     auto readRequest(Request& request, const Headers& headers, const std::string& body, Microseconds begunAt)
         -> void;
     auto readResumption(Request& request, Microseconds now) -> std::optional<Refusal>;
+    auto noteAcceptance(Request& request, Microseconds now) -> void;
     auto enqueue(Request& request, Microseconds now) -> bool;
+    auto rebindQueue(Microseconds now) -> void;
     auto serveQueue(Microseconds now) -> void;
 
     // Dispatch (dispatch.cpp).
@@ -153,9 +154,11 @@
     auto reserveEngine(Request& request, ServerStatistics& statistics, const ServiceRule& rule) -> void;
     auto release(Request& request) -> void;
     auto promptRead(Request& request) -> void;
-    [[nodiscard]] auto whyNoAttempt(Request& request) -> std::string;
+    [[nodiscard]] auto rebindToNewest(Request& request) -> std::optional<Refusal>;
+    [[nodiscard]] auto whyNoAttempt(Request& request) -> std::optional<Refusal>;
     [[nodiscard]] auto whyNotToServer(const Request& request, bool reused, Microseconds now) -> std::string;
-    auto holdBack(Request& request, const std::string& why, bool isFinal, Microseconds now) -> void;
+    auto giveUpAttempt(Request& request, const std::string& why, Microseconds now) -> void;
+    auto holdBack(Request& request, const std::string& why, Microseconds now) -> void;
     auto apply(Request& request, AttemptEvent event) -> Execution;
     auto currentAttempt(std::int64_t id, int attempt) -> Request*;
 
--- /dev/null
+++ b/src/routing/refusal.hpp
@@ -0,0 +1,12 @@
+#pragma once
+// Why a request is not served, in the terms of HTTP.
+#include <string>
+
+namespace duneturn {
+
+struct Refusal {
+    int status = 503;
+    std::string why;  ///< For the client; never holds a key.
+};
+
+}  // namespace duneturn
--- a/src/routing/request.hpp
+++ b/src/routing/request.hpp
@@ -12,6 +12,7 @@
 #include "routing/attempt_state.hpp"
 #include "routing/headers.hpp"
 #include "routing/route_table.hpp"
+#include "routing/tenant_admission.hpp"
 
 namespace duneturn {
 
@@ -25,7 +26,7 @@
     std::string name;    ///< The client's own, or one that this node made.
     std::string region;  ///< Where the client is.
     std::string model;   ///< That the client asked for; empty: the route's.
-    Headers headers;
+    Headers headers;     ///< Less those of withoutTenantHeaders.
     Microseconds acceptedAt = 0;
     /// The parts of its prompt by their hashes, with their tokens; the last is its own.
     std::vector<std::pair<std::uint64_t, std::int64_t>> promptParts;
@@ -90,7 +91,8 @@
 /// One request, from its acceptance to its end.
 struct Request {
     std::int64_t id = 0;
-    Route route;  ///< As the newest configuration that binds it says.
+    Route route;           ///< As the newest configuration that binds it says.
+    RequestTenant tenant;  ///< Likewise.
     ReceivedRequest received;
     RequestAttempts attempts;
     RelayedStream relayed;
--- a/src/routing/retry.cpp
+++ b/src/routing/retry.cpp
@@ -30,7 +30,7 @@
     auto known = std::max(execution, attempts.tracker.earlier());
     auto isFurther = budget_.countsAsFurther(execution);
     auto grant = isFurther ? AttemptGrant::Further : AttemptGrant::Granted;
-    if (!rebind(request, routes_, dialect_, broken) || now >= request.limits.deadline) return false;
+    if (rebindToNewest(request) || now >= request.limits.deadline) return false;
     if (!migration_.objection(request, known, grant).empty()) return false;
     if (isFurther && !budget_.allows(request, now)) return false;
     attempts.tried.push_back(attempts.server);
@@ -55,8 +55,10 @@
     auto grant = isFurther ? AttemptGrant::Further : AttemptGrant::Granted;
     abandonAttempt(request, execution, why, now);
     // What the newest configuration allows is what counts, not what it allowed at first.
-    if (!rebind(request, routes_, dialect_, broken))
-        return fail(request, 502, why + "; its mapping is no longer configured", now);
+    if (auto refusal = rebindToNewest(request)) {
+        auto status = refusal->status == KEY_REFUSED ? KEY_REFUSED : 502;
+        return fail(request, status, why + "; " + refusal->why, now);
+    }
     if (auto objection = migration_.objection(request, known, grant); !objection.empty())
         return fail(request, 502, why + "; " + objection, now);
     if (now >= request.limits.deadline) return fail(request, 504, why + "; its time is over", now);
@@ -178,7 +180,7 @@
     auto why = migration_.crawls(request, gap);
     if (!why) return;
     statistics.ejection.lowerFitness(CRAWLING, now);
-    if (!budget_.allows(request, now) || !rebind(request, routes_, dialect_, broken)) return;
+    if (!budget_.allows(request, now) || rebindToNewest(request)) return;
     if (now >= request.limits.deadline) return;
     if (!migration_.objection(request, Execution::MayHaveRun, AttemptGrant::Further).empty()) return;
     attempts.tried.push_back(attempts.server);
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -81,6 +81,7 @@
 
 // What may be done with a route's requests, and for how long.
 auto readLimits(const rapidjson::Value& value, const RouteTable& table, Route& route) -> void {
+    route.isPublic = jsonBool(value, "public");
     route.stream = jsonBool(value, "stream");
     route.resumable = jsonBool(value, "Resumable");
     route.repeatable = jsonBool(value, "repeatable");
@@ -134,9 +135,12 @@
 
 }  // namespace
 
-auto compileRoutes(const rapidjson::Value& config, std::int64_t configVersion) -> RouteTable {
+auto compileRoutes(std::shared_ptr<const Configuration> configuration, std::int64_t configVersion)
+    -> RouteTable {
     auto table = RouteTable();
+    table.configuration = std::move(configuration);
     table.configVersion = configVersion;
+    auto& config = table.configuration->json();
     readFigures(config, table);
     readServices(config, table);
     readModels(config, table);
--- a/src/routing/route_table.hpp
+++ b/src/routing/route_table.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <string_view>
@@ -15,6 +16,7 @@
 #include "base/json.hpp"
 #include "base/time.hpp"
 #include "routing/dialect.hpp"
+#include "state/configuration.hpp"
 
 namespace duneturn {
 
@@ -66,6 +68,7 @@
     std::vector<std::string> spillRegions;  ///< Regions that take what the client's region has no room for.
     double spillOccupancy = 0.9;            ///< From which on the client's region counts as full.
     bool pathIsPrefix = false;
+    bool isPublic = false;    ///< Requests need no key.
     bool stream = false;      ///< The answer is an event stream.
     bool resumable = false;   ///< A stream may go on at another server.
     bool repeatable = false;  ///< A request may run more than once.
@@ -90,6 +93,7 @@
 struct RouteTable {
     std::int64_t configVersion = 0, epoch = 0;
     std::int64_t revision = 0;  ///< Of this table at this node; rises with each that is compiled.
+    std::shared_ptr<const Configuration> configuration = Configuration::empty();  ///< Never null.
     std::vector<Route> routes;
     std::map<std::string, ServiceRule> services;
     std::map<std::string, ModelRule> models;
@@ -102,6 +106,7 @@
     Microseconds rampDuration = 20 * SECOND;
     int rampFirstSlots = 2;  ///< Slots of a server at its ramp's beginning, of all nodes.
 
+    [[nodiscard]] auto tenants() const -> const TenantTable& { return configuration->tenants(); }
     /// The index of a request's route, -1 if there is none: of its host, else of any; the longest path;
     /// this very method first.
     [[nodiscard]] auto match(std::string_view method, std::string_view host, std::string_view path) const
@@ -127,7 +132,8 @@
 };
 
 /// The routes of a configuration that validateConfiguration found sound.
-[[nodiscard]] auto compileRoutes(const rapidjson::Value& config, std::int64_t configVersion) -> RouteTable;
+[[nodiscard]] auto compileRoutes(
+    std::shared_ptr<const Configuration> configuration, std::int64_t configVersion) -> RouteTable;
 
 /// What a configuration says of a service. Where clients name requests a service without a rule has an
 /// empty one; elsewhere null.
--- a/tests/routing/edge_tenants_test.cpp
+++ b/tests/routing/edge_tenants_test.cpp
@@ -1,4 +1,5 @@
 // Keys of tenants: who may send, and what servers learn of it.
+#include <cstdint>
 #include <string>
 
 #include "routing/tenant_fixture.hpp"
@@ -26,7 +27,7 @@
 
 TEST(EdgeTenants, serverLearnsTheTenantOfTheKey) {
     auto rig = TenantFixture();
-    auto request = rig.sendWithKey("key-two", {{TENANT_HEADER, "one"}});
+    auto request = rig.sendWithKey("key-two", "/a/x", {{TENANT_HEADER, "one"}});
     CHECK(rig.sendFirstByte(request));
     CHECK_EQ(std::string("two"), rig.headerToServer(request, TENANT_HEADER));
     CHECK_EQ(std::string("-"), rig.headerToServer(request, KEY_HEADER));
@@ -36,7 +37,105 @@
     auto rig = TenantFixture();
     auto request = rig.sendWithKey("key-three");
     CHECK_EQ(401, rig.outcome(request));
+    CHECK_EQ(std::string("true"), headerOf(rig.replies[request].headers, "X-Not-Run"));
+    CHECK_EQ(std::string("-"), headerOf(rig.replies[request].headers, "Retry-After"));
+    CHECK_EQ(std::int64_t(1), rig.counters.get("keys_refused_total"));
     CHECK(rig.sends.empty());
 }
 
+TEST(EdgeTenants, missingKeyIsRefused) {
+    auto rig = TenantFixture();
+    CHECK_EQ(401, rig.outcome(rig.sendRequest("/a/x")));
+    CHECK_EQ(401, rig.outcome(rig.sendRequest("/a/x", {{TENANT_HEADER, "one"}})));
+    CHECK_EQ(401, rig.outcome(rig.sendWithKey("")));
+    CHECK(rig.sends.empty());
+}
+
+TEST(EdgeTenants, keyIsTheWholeValueOfTheOnlyHeader) {
+    auto rig = TenantFixture();
+    CHECK_EQ(401, rig.outcome(rig.sendWithKey("key-one", "/a/x", {{"x-api-key", "key-one"}})));
+    CHECK_EQ(401, rig.outcome(rig.sendWithKey("key-one, key-one")));
+    CHECK_EQ(401, rig.outcome(rig.sendWithKey("Bearer key-one")));
+    CHECK_EQ(401, rig.outcome(rig.sendWithKey("key-on")));
+    CHECK(rig.sends.empty());
+}
+
+TEST(EdgeTenants, publicRouteNeedsNoKey) {
+    auto rig = TenantFixture(R"(,"public":true)");
+    auto tenantFor = [&](const Headers& headers) {
+        auto request = rig.sendRequest("/a/x", headers);
+        CHECK(rig.sendFirstByte(request));
+        CHECK_EQ(std::string("-"), rig.headerToServer(request, KEY_HEADER));
+        auto tenant = rig.headerToServer(request, TENANT_HEADER);
+        rig.answer(request);
+        return tenant;
+    };
+    CHECK_EQ(std::string("-"), tenantFor({}));
+    CHECK_EQ(std::string("-"), tenantFor({{TENANT_HEADER, "one"}}));
+    CHECK_EQ(std::string("-"), tenantFor({{KEY_HEADER, "key-three"}}));
+    CHECK_EQ(std::string("two"), tenantFor({{KEY_HEADER, "key-two"}}));
+}
+
+// A key that the node cannot know yet is no reason to send a client away for good.
+TEST(EdgeTenants, nodeWithoutConfigurationDoesNotJudgeKeys) {
+    auto rig = EdgeFixture();
+    CHECK_EQ(503, rig.outcome(rig.sendRequest("/a/x", {{KEY_HEADER, "key-one"}})));
+    CHECK_EQ(503, rig.outcome(rig.sendRequest("/a/x")));
+}
+
+TEST(EdgeTenants, unknownPathComesBeforeTheKey) {
+    auto rig = TenantFixture();
+    CHECK_EQ(404, rig.outcome(rig.sendWithKey("key-three", "/elsewhere")));
+}
+
+// A client keeps its connection while its key comes and goes: each request is judged by itself.
+TEST(EdgeTenants, eachRequestIsJudgedByItself) {
+    auto rig = TenantFixture();
+    auto first = rig.sendWithKey("key-one");
+    CHECK(rig.sendFirstByte(first));
+    rig.answer(first);
+    CHECK_EQ(200, rig.outcome(first));
+    CHECK_EQ(401, rig.outcome(rig.sendRequest("/a/x")));
+    CHECK_EQ(200, rig.orderTenants(R"("one":{"keys":["another"]},"two":{"keys":["key-two"]})"));
+    CHECK_EQ(401, rig.outcome(rig.sendWithKey("key-one")));
+    CHECK_EQ(0, rig.outcome(rig.sendWithKey("another")));
+}
+
+TEST(EdgeTenants, furtherAttemptNamesTheTenant) {
+    auto rig = TenantFixture(R"(,"MaxTries":3,"repeatable":true)");
+    rig.listServers({{"x"}, {"y"}});
+    auto request = rig.sendWithKey("key-two");
+    CHECK(rig.sendFirstByte(request));
+    rig.edge->onConnectionLost(request, rig.lastSend().attempt, "reset", rig.now);
+    CHECK(rig.sendFirstByte(request));
+    CHECK_EQ(std::size_t(2), rig.sends.size());
+    CHECK_EQ(std::string("two"), rig.headerToServer(request, TENANT_HEADER));
+    CHECK_EQ(std::string("-"), rig.headerToServer(request, KEY_HEADER));
+}
+
+TEST(EdgeTenants, resumedStreamNamesTheTenant) {
+    auto rig = TenantFixture(R"(,"MaxTries":3,"stream":true,"Resumable":true)");
+    rig.listServers({{"x"}, {"y"}});
+    auto request = rig.sendWithKey("key-two", "/a/x", {{TENANT_HEADER, "one"}, {"Last-Event-Id", "7"}});
+    CHECK(rig.sendFirstByte(request));
+    CHECK_EQ(std::string("7"), rig.headerToServer(request, "Last-Event-Id"));
+    CHECK_EQ(std::string("two"), rig.headerToServer(request, TENANT_HEADER));
+    CHECK_EQ(std::string("-"), rig.headerToServer(request, KEY_HEADER));
+}
+
+TEST(EdgeTenants, keyIsInNoViewAndTraceNamesTheTenant) {
+    auto rig = TenantFixture();
+    auto sent = rig.sendWithKey("key-one");
+    CHECK(rig.sendFirstByte(sent));
+    auto refused = rig.sendWithKey("key-three");
+    auto name = rig.edge->find(sent)->received.name;
+    auto seen = rig.edge->liveRequestsJson(rig.now) + rig.edge->explainedRequestJson(name, rig.now);
+    CHECK(seen.find("tenant one") != std::string::npos);
+    rig.answer(sent);
+    seen += rig.edge->decisionsJson(0) + rig.counters.text() + rig.replies[refused].body;
+    CHECK(seen.find("key-one") == std::string::npos);
+    CHECK(seen.find("key-three") == std::string::npos);
+    for (auto& [header, value] : rig.edge->find(sent)->received.headers) CHECK(value.find("key-") != 0);
+}
+
 }  // namespace duneturn
--- a/tests/routing/route_table_test.cpp
+++ b/tests/routing/route_table_test.cpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <ctime>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -47,7 +48,7 @@
         }
         auto d = rapidjson::Document();
         CHECK(parseJson("{\"mappings\":[" + t + "]}", d));
-        auto ru = compileRoutes(d, 1);
+        auto ru = compileRoutes(std::make_shared<const Configuration>(d), 1);
         for (auto i = 0; i < 40; i++) {
             auto h = host(), me = any({"GET", "POST", "DELETE"}), p = path();
             auto want = -1;
@@ -118,12 +119,13 @@
     t += "]}";
     auto d = rapidjson::Document();
     CHECK(parseJson(t, d));
+    auto configuration = std::make_shared<const Configuration>(d);
     auto best = 1e9;
     auto ru = RouteTable();
     for (auto k = 0; k < 5; k++) {
         auto a = clock();
         CHECK(validateConfiguration(d).empty());
-        ru = compileRoutes(d, 1);
+        ru = compileRoutes(configuration, 1);
         best = std::min(best, double(clock() - a) / CLOCKS_PER_SEC);
     }
 #if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
