Tenants' ranks go before the routes' urgency, in queues and at servers

A tenant's rank (0 first) now decides who waits, who is displaced from a full queue and who is served first; between tenants of one rank the route's urgency does, as before. Servers get both in the one header that there is: its ten levels are divided among the ranks of the configuration, and each part among the urgencies. With one rank, or no tenants, the header is what it was.

Tests: EdgeTenants.tenantsRankGoesBeforeTheRoutesUrgency, .tenantsRankDisplacesFromAFullQueue, .serversLearnTheRankAsUrgency, .urgencyIsTheRoutesWhereTenantsHaveOneRank, .smallerRankHasTheSmallerLevelWhateverTheUrgency.

--- a/src/routing/backlog.cpp
+++ b/src/routing/backlog.cpp
@@ -7,8 +7,8 @@
 
 // Whether `left` is the better one to be displaced.
 auto goesBefore(const Request& left, const Request& right) -> bool {
-    if (left.route.urgency != right.route.urgency) return left.route.urgency < right.route.urgency;
-    return left.limits.deadline >= right.limits.deadline;
+    if (left.isMoreUrgentThan(right)) return false;
+    return right.isMoreUrgentThan(left) || left.limits.deadline >= right.limits.deadline;
 }
 
 }  // namespace
@@ -36,7 +36,7 @@
     if (slots == 0) return false;
     auto before = 0;
     for (auto& [id, other] : requests_)
-        before += other.queuePlace.service == service && other.route.urgency >= request.route.urgency;
+        before += other.queuePlace.service == service && !request.isMoreUrgentThan(other);
     auto wait = holdTime * before * double(fleet_.nodes()) / slots;
     return wait > double(std::min(request.limits.deadline - now, request.route.queueTimeout));
 }
@@ -45,7 +45,7 @@
     auto found = (Request*)nullptr;
     for (auto& [id, other] : requests_) {
         if (other.queuePlace.service != request.route.service) continue;
-        if (other.route.urgency >= request.route.urgency) continue;
+        if (!request.isMoreUrgentThan(other)) continue;
         if (!found || goesBefore(other, *found)) found = &other;
     }
     return found;
@@ -71,8 +71,8 @@
     for (auto& [id, request] : requests_)
         if (request.phase() == Phase::Queued && request.queuePlace.until) waiting.push_back(&request);
     std::stable_sort(waiting.begin(), waiting.end(), [](auto left, auto right) {
-        return left->route.urgency != right->route.urgency ? left->route.urgency > right->route.urgency
-                                                           : left->limits.deadline < right->limits.deadline;
+        if (left->isMoreUrgentThan(*right)) return true;
+        return !right->isMoreUrgentThan(*left) && left->limits.deadline < right->limits.deadline;
     });
     return waiting;
 }
--- a/src/routing/backlog.hpp
+++ b/src/routing/backlog.hpp
@@ -18,8 +18,8 @@
 
 namespace duneturn {
 
-/// Counts the places taken; the requests themselves stay where they are. The more urgent go first, and of
-/// the same urgency the one with the nearer deadline.
+/// Counts the places taken; the requests themselves stay where they are. The more urgent go first
+/// (Request::isMoreUrgentThan), and of the same urgency the one with the nearer deadline.
 class Backlog {
   public:
     Backlog(std::map<std::int64_t, Request>& requests, const Node& node, const RouteTable& routes,
--- a/src/routing/dispatch.cpp
+++ b/src/routing/dispatch.cpp
@@ -204,7 +204,8 @@
     set(dialect_.target, attempts.server);
     set(dialect_.deadlineMs,
         fmt::to_string(std::max<Microseconds>(1, (limits.deadline - now) / MILLISECOND)));
-    set(dialect_.urgency, fmt::to_string(9 - std::clamp(request.route.urgency, 0, 9)));
+    set(dialect_.urgency,
+        fmt::to_string(routes_.urgencyLevels.level(request.tenant.rank, request.route.urgency)));
     if (request.tenant.isKnown()) set(dialect_.tenant, request.tenant.name);
     return headers;
 }
--- a/src/routing/request.hpp
+++ b/src/routing/request.hpp
@@ -110,6 +110,11 @@
     [[nodiscard]] auto retryRights() const -> RetryRights {
         return {route.mayRunAgain() && !attempts.sentUnrepeatable, route.resumable};
     }
+    /// Whether it goes before another: by the tenants' ranks, and between like ranks by the routes' urgency.
+    [[nodiscard]] auto isMoreUrgentThan(const Request& other) const -> bool {
+        if (tenant.rank != other.tenant.rank) return tenant.rank < other.tenant.rank;
+        return route.urgency > other.route.urgency;
+    }
     /// The migrations that are left to it.
     [[nodiscard]] auto migrationsLeft() const -> int {
         return limits.immovable ? 0 : std::max(0, route.migrationLimit - attempts.migrations);
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -127,6 +127,13 @@
     table.routes.push_back(std::move(route));
 }
 
+auto urgencyLevelsOf(const RouteTable& table) -> UrgencyLevels {
+    auto levels = UrgencyLevels();
+    for (auto& [name, tenant] : table.tenants().all()) levels.addTenantRank(tenant.rank);
+    for (auto& route : table.routes) levels.addRouteUrgency(route.urgency);
+    return levels;
+}
+
 // A host without its port.
 auto withoutPort(std::string_view host) -> std::string_view {
     if (host.empty() || host.back() == ']') return host;  // the colons of an address in brackets are no port
@@ -153,6 +160,7 @@
         route.steps = selectionSteps(route);
         addRoute(table, std::move(route));
     }
+    table.urgencyLevels = urgencyLevelsOf(table);
     return table;
 }
 
--- a/src/routing/route_table.hpp
+++ b/src/routing/route_table.hpp
@@ -16,6 +16,7 @@
 #include "base/json.hpp"
 #include "base/time.hpp"
 #include "routing/dialect.hpp"
+#include "routing/urgency_levels.hpp"
 #include "state/configuration.hpp"
 
 namespace duneturn {
@@ -94,6 +95,7 @@
     std::int64_t configVersion = 0, epoch = 0;
     std::int64_t revision = 0;  ///< Of this table at this node; rises with each that is compiled.
     std::shared_ptr<const Configuration> configuration = Configuration::empty();  ///< Never null.
+    UrgencyLevels urgencyLevels;
     std::vector<Route> routes;
     std::map<std::string, ServiceRule> services;
     std::map<std::string, ModelRule> models;
--- a/src/routing/tenant_admission.cpp
+++ b/src/routing/tenant_admission.cpp
@@ -20,6 +20,7 @@
     static const auto none = Tenant();
     auto& source = tenant ? *tenant : none;
     name = source.name;
+    rank = source.rank;
 }
 
 auto withoutTenantHeaders(const Headers& headers, const Dialect& dialect) -> Headers {
--- a/src/routing/tenant_admission.hpp
+++ b/src/routing/tenant_admission.hpp
@@ -30,6 +30,7 @@
 struct RequestTenant {
     ClientKey key;
     std::string name;  ///< Empty: the request is no tenant's.
+    int rank = 0;      ///< 0 goes first.
 
     [[nodiscard]] auto isKnown() const -> bool { return !name.empty(); }
     /// Takes what the configuration says of a tenant; null: of no tenant.
--- /dev/null
+++ b/src/routing/urgency_levels.cpp
@@ -0,0 +1,35 @@
+#include "routing/urgency_levels.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace duneturn {
+namespace {
+
+constexpr auto LEVELS = 10;  // that the wire has
+
+auto levelOfUrgency(int urgency) -> int { return LEVELS - 1 - std::clamp(urgency, 0, LEVELS - 1); }
+
+// How many members are smaller than `value`; at most the last one's position.
+auto positionIn(const std::set<int>& members, int value) -> int {
+    auto position = int(std::distance(members.begin(), members.lower_bound(value)));
+    return std::clamp(position, 0, std::max(0, int(members.size()) - 1));
+}
+
+}  // namespace
+
+auto UrgencyLevels::addRouteUrgency(int urgency) -> void { routeLevels_.insert(levelOfUrgency(urgency)); }
+
+auto UrgencyLevels::level(int tenantRank, int routeUrgency) const -> int {
+    auto routeLevel = levelOfUrgency(routeUrgency);
+    auto ranks = int(ranks_.size());
+    if (ranks < 2) return routeLevel;
+    auto rank = positionIn(ranks_, tenantRank);
+    auto first = rank * LEVELS / ranks;
+    auto width = (rank + 1) * LEVELS / ranks - first;
+    auto position = positionIn(routeLevels_, routeLevel);
+    auto kinds = int(routeLevels_.size());
+    return first + (kinds <= width ? position : position * width / kinds);
+}
+
+}  // namespace duneturn
--- /dev/null
+++ b/tests/routing/edge_tenant_order_test.cpp
@@ -0,0 +1,80 @@
+// Ranks of tenants: who goes first.
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "routing/tenant_fixture.hpp"
+#include "routing/urgency_levels.hpp"
+
+namespace duneturn {
+namespace {
+
+// The route of the fixture, the least urgent, and the most urgent one at /u.
+constexpr auto TWO_URGENCIES = R"(,"urgency":1},
+    {"name":"u","path":"/u","pool":"p","aimUs":1000000,"queueUs":10000000,"urgency":9)";
+
+}  // namespace
+
+TEST(EdgeTenants, tenantsRankGoesBeforeTheRoutesUrgency) {
+    auto rig = TenantFixture(TWO_URGENCIES);
+    auto filling = rig.fillServer("key-two");
+    auto second = rig.sendWithKey("key-two", "/u");
+    auto first = rig.sendWithKey("key-one");
+    auto last = rig.sendWithKey("key-two");
+    rig.answer(filling[0]);
+    CHECK_EQ(first, rig.lastSend().request);
+    rig.answer(filling[1]);
+    CHECK_EQ(second, rig.lastSend().request);
+    rig.answer(filling[2]);
+    CHECK_EQ(last, rig.lastSend().request);
+}
+
+TEST(EdgeTenants, tenantsRankDisplacesFromAFullQueue) {
+    auto rig = TenantFixture(std::string(R"(,"queue":1)") + R"(,"urgency":1},
+    {"name":"u","path":"/u","pool":"p","aimUs":1000000,"queueUs":10000000,"urgency":9,"queue":1)");
+    rig.fillServer("key-two");
+    auto urgent = rig.sendWithKey("key-two", "/u");
+    auto first = rig.sendWithKey("key-one");
+    CHECK_EQ(503, rig.outcome(urgent));
+    CHECK_EQ(0, rig.outcome(first));
+    CHECK_EQ(503, rig.outcome(rig.sendWithKey("key-two", "/u")));
+    CHECK_EQ(0, rig.outcome(first));
+}
+
+TEST(EdgeTenants, serversLearnTheRankAsUrgency) {
+    auto rig = TenantFixture(TWO_URGENCIES);
+    rig.listServers({{"x", "near", "p", "z", 64}});
+    auto level = [&](const std::string& key, const std::string& path) {
+        return rig.headerToServer(rig.sendWithKey(key, path), "X-Urgency");
+    };
+    CHECK_EQ(std::string("0"), level("key-one", "/u"));
+    CHECK_EQ(std::string("1"), level("key-one", "/a/x"));
+    CHECK_EQ(std::string("5"), level("key-two", "/u"));
+    CHECK_EQ(std::string("6"), level("key-two", "/a/x"));
+}
+
+TEST(EdgeTenants, urgencyIsTheRoutesWhereTenantsHaveOneRank) {
+    auto levels = UrgencyLevels();
+    for (auto urgency = 0; urgency <= 9; urgency++) {
+        CHECK_EQ(9 - urgency, levels.level(0, urgency));
+        levels.addRouteUrgency(urgency);
+    }
+    levels.addTenantRank(4);
+    for (auto urgency = 0; urgency <= 9; urgency++) CHECK_EQ(9 - urgency, levels.level(4, urgency));
+}
+
+TEST(EdgeTenants, smallerRankHasTheSmallerLevelWhateverTheUrgency) {
+    for (auto ranks = 2; ranks <= 10; ranks++) {
+        auto levels = UrgencyLevels();
+        for (auto rank = 0; rank < ranks; rank++) levels.addTenantRank(rank);
+        for (auto urgency = 0; urgency <= 9; urgency++) levels.addRouteUrgency(urgency);
+        for (auto rank = 0; rank < ranks; rank++) {
+            CHECK(levels.level(rank, 9) >= 0 && levels.level(rank, 0) <= 9);
+            for (auto urgency = 1; urgency <= 9; urgency++)
+                CHECK(levels.level(rank, urgency) <= levels.level(rank, urgency - 1));
+            if (rank > 0) CHECK(levels.level(rank - 1, 0) < levels.level(rank, 9));
+        }
+    }
+}
+
+}  // namespace duneturn
