A tenant's homes bind together with its route's

Servers of a request must be in the homes of its route and in those of its tenant, where these have any. The request's own route is narrowed when it is bound, so selection, spill-over, the check before the first byte and further attempts all follow. Without a common region the request gets 503 and nothing is sent. A route's requests that may go to different regions no longer count as one when the queue is served.

Tests: EdgeTenants.homesOfTheTenantBind, .homesOfRouteAndTenantBothBind, .homesBindFurtherAttempts, .newHomesBindBeforeTheFirstByte.

--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -23,6 +23,13 @@
 constexpr auto BYTES_PER_TOKEN = std::size_t(4);  // of a body, where nobody counts its tokens
 constexpr auto FAILURES_OF_A_ROUTE = 2;           // after which the rest of a route's queue waits
 
+// Requests of a route that may go to the same servers; a tenant may narrow its homes.
+struct PlacesOfRoute {
+    std::string route;
+    std::vector<std::string> homes;
+    auto operator<=>(const PlacesOfRoute&) const = default;
+};
+
 }  // namespace
 
 auto Edge::accept(const std::string& method, const std::string& path, const Headers& headers,
@@ -181,19 +188,20 @@
 
 auto Edge::serveQueue(Microseconds now) -> void {
     rebindQueue(now);
-    auto failures = std::map<std::string, int>();
+    auto failures = std::map<PlacesOfRoute, int>();
     for (auto request : backlog_.inOrder()) {
         if (now >= request->queuePlace.until) {
             fail(*request, 503, "no server had room in time", now);
             continue;
         }
         // After a few that found no room the rest of that route would not either.
-        if (failures[request->route.name] >= FAILURES_OF_A_ROUTE) continue;
+        auto& failed = failures[{request->route.name, request->route.homes}];
+        if (failed >= FAILURES_OF_A_ROUTE) continue;
         auto lines = request->trace.size();
         if (dispatch(*request, now)) {
             backlog_.leave(*request);
         } else {
-            failures[request->route.name]++;
+            failed++;
             if (request->phase() != Phase::Finished) request->trace.resize(lines);
         }
     }
--- a/src/routing/candidate_filters.cpp
+++ b/src/routing/candidate_filters.cpp
@@ -6,7 +6,6 @@
 namespace duneturn {
 namespace {
 
-constexpr auto CLIENTS_REGION = "@near";  // as a home: wherever the client is
 // After a break what may not be repeated waits longer before it tries a server again.
 constexpr auto UNREPEATABLE_CAUTION = 2 * SECOND;
 
@@ -29,7 +28,7 @@
 auto isInHomeRegion(const KnownServer& server, const Request& request, const EdgeFaults& faults) -> bool {
     auto& homes = request.route.homes;
     return faults.ignoreHome || std::any_of(homes.begin(), homes.end(), [&](auto& home) {
-        return server.listing.region == (home == CLIENTS_REGION ? request.received.region : home);
+        return server.listing.region == homeRegion(home, request.received.region);
     });
 }
 
--- a/src/routing/route_binding.cpp
+++ b/src/routing/route_binding.cpp
@@ -17,9 +17,10 @@
 constexpr auto SHARE_SEED = 11;  // each use of hash64 has a seed of its own
 constexpr auto UNROUTED = "its mapping is no longer configured";
 constexpr auto NO_KEY = "one header with a key that is in force is needed";
+constexpr auto NO_COMMON_HOME = "its mapping and its tenant have no home region in common";
 
 // Why nothing of a configuration binds a request.
-enum class BindingFault { NoConfiguration, NoRoute, KeyRefused };
+enum class BindingFault { NoConfiguration, NoRoute, KeyRefused, NoCommonHome };
 
 // What a configuration says of a request.
 struct Binding {
@@ -62,6 +63,8 @@
         Binding{routeFor(received, route, routes), request.tenant.key.findTenant(routes.tenants())};
     if (!binding.tenant && !route.isPublic && routes.tenants().needsKeys())
         return tl::unexpected(BindingFault::KeyRefused);
+    if (binding.tenant && !narrowHomes(binding.route, binding.tenant->homes, received.region))
+        return tl::unexpected(BindingFault::NoCommonHome);
     return binding;
 }
 
@@ -70,6 +73,7 @@
     case BindingFault::NoConfiguration: return {503, "no configuration yet"};
     case BindingFault::NoRoute: return {404, "no mapping for this path"};
     case BindingFault::KeyRefused: return {KEY_REFUSED, NO_KEY};
+    case BindingFault::NoCommonHome: return {503, NO_COMMON_HOME};
     }
     return {};
 }
@@ -79,6 +83,7 @@
     auto mayHaveRun = request.attempts.tracker.mayHaveRun();
     switch (fault) {
     case BindingFault::KeyRefused: return {mayHaveRun ? 502 : KEY_REFUSED, NO_KEY};
+    case BindingFault::NoCommonHome: return {503, NO_COMMON_HOME};
     default: return {503, UNROUTED};
     }
 }
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr auto LEAST_FITNESS = 0.3;           // below it a server is used only where no fitter one is left
+constexpr auto CLIENTS_REGION = "@near";      // as a home: wherever the client is
 constexpr auto URGENT = 5;                    // from this urgency on a request may fill a server
 constexpr auto LESS_URGENT_THRESHOLD = 0.85;  // less urgent work leaves a little room for what is more urgent
 constexpr auto QUEUE_SHARE =
@@ -164,6 +165,27 @@
     return table;
 }
 
+auto homeRegion(const std::string& home, const std::string& clientRegion) -> const std::string& {
+    return home == CLIENTS_REGION ? clientRegion : home;
+}
+
+auto narrowHomes(Route& route, const std::vector<std::string>& homes, const std::string& clientRegion)
+    -> bool {
+    if (homes.empty()) return true;
+    auto isHomeOfRoute = [&](const std::string& region) {
+        return route.homes.empty() || std::any_of(route.homes.begin(), route.homes.end(), [&](auto& home) {
+            return homeRegion(home, clientRegion) == region;
+        });
+    };
+    auto regions = std::vector<std::string>();
+    for (auto& home : homes)
+        if (auto& region = homeRegion(home, clientRegion); isHomeOfRoute(region)) regions.push_back(region);
+    if (regions.empty()) return false;
+    route.homes = std::move(regions);
+    route.steps = selectionSteps(route);
+    return true;
+}
+
 // Of one host and path the route of this very method counts first, then the first named.
 auto RouteTable::matchMethod(
     const Table<std::vector<int>>& paths, std::string_view method, std::string_view path) const -> int {
--- a/src/routing/route_table.hpp
+++ b/src/routing/route_table.hpp
@@ -137,6 +137,13 @@
 [[nodiscard]] auto compileRoutes(
     std::shared_ptr<const Configuration> configuration, std::int64_t configVersion) -> RouteTable;
 
+/// The region that a home names: its own name, or where the client is.
+[[nodiscard]] auto homeRegion(const std::string& home, const std::string& clientRegion) -> const std::string&;
+/// Narrows a route to those of its homes that are among `homes`, if there are any of these. False if no
+/// region is left.
+[[nodiscard]] auto narrowHomes(
+    Route& route, const std::vector<std::string>& homes, const std::string& clientRegion) -> bool;
+
 /// What a configuration says of a service. Where clients name requests a service without a rule has an
 /// empty one; elsewhere null.
 [[nodiscard]] auto serviceRuleOf(const RouteTable& routes, const Dialect& dialect, const std::string& service)
--- a/src/routing/tenant_admission.cpp
+++ b/src/routing/tenant_admission.cpp
@@ -21,6 +21,7 @@
     auto& source = tenant ? *tenant : none;
     name = source.name;
     rank = source.rank;
+    homes = source.homes;
 }
 
 auto withoutTenantHeaders(const Headers& headers, const Dialect& dialect) -> Headers {
--- a/src/routing/tenant_admission.hpp
+++ b/src/routing/tenant_admission.hpp
@@ -3,6 +3,7 @@
 // the request.
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "net/headers.hpp"
 #include "routing/dialect.hpp"
@@ -29,8 +30,9 @@
 /// The tenant of one request, as the newest configuration that binds it says.
 struct RequestTenant {
     ClientKey key;
-    std::string name;  ///< Empty: the request is no tenant's.
-    int rank = 0;      ///< 0 goes first.
+    std::string name;                ///< Empty: the request is no tenant's.
+    int rank = 0;                    ///< 0 goes first.
+    std::vector<std::string> homes;  ///< Regions whose servers alone may be used; empty: any.
 
     [[nodiscard]] auto isKnown() const -> bool { return !name.empty(); }
     /// Takes what the configuration says of a tenant; null: of no tenant.
--- a/tests/routing/edge_tenant_order_test.cpp
+++ b/tests/routing/edge_tenant_order_test.cpp
@@ -1,4 +1,4 @@
-// Ranks of tenants: who goes first.
+// Ranks and homes of tenants: who goes first, and where requests may go.
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -13,6 +13,10 @@
 constexpr auto TWO_URGENCIES = R"(,"urgency":1},
     {"name":"u","path":"/u","pool":"p","aimUs":1000000,"queueUs":10000000,"urgency":9)";
 
+auto tenantsWithHomes(const std::string& homes) -> std::string {
+    return R"("one":{"keys":["key-one"],"homes":)" + homes + R"(},"two":{"keys":["key-two"]})";
+}
+
 }  // namespace
 
 TEST(EdgeTenants, tenantsRankGoesBeforeTheRoutesUrgency) {
@@ -77,4 +81,50 @@
     }
 }
 
+TEST(EdgeTenants, homesOfTheTenantBind) {
+    auto rig = TenantFixture("", tenantsWithHomes(R"(["far"])"));
+    rig.listServers({{"x", "near"}, {"y", "far"}, {"z", "other"}});
+    for (auto i = 0; i < 4; i++) {
+        rig.sendWithKey("key-one");
+        CHECK_EQ(std::string("y"), rig.lastSend().server);
+    }
+    rig.sendWithKey("key-two");
+    CHECK_EQ(std::string("x"), rig.lastSend().server);
+}
+
+TEST(EdgeTenants, homesOfRouteAndTenantBothBind) {
+    struct Case {
+        std::string routeHomes, tenantHomes, server;  // "": refused
+    };
+    for (auto& homes : std::vector<Case>{{R"(["near","far"])", R"(["far","other"])", "y"},
+             {R"(["@near"])", R"(["near","far"])", "x"}, {R"(["@near"])", R"(["far"])", ""},
+             {R"(["near"])", R"(["far"])", ""}}) {
+        auto rig = TenantFixture(R"(,"homes":)" + homes.routeHomes, tenantsWithHomes(homes.tenantHomes));
+        rig.listServers({{"x", "near"}, {"y", "far"}, {"z", "other"}});
+        auto request = rig.sendWithKey("key-one");
+        CHECK_EQ(homes.server.empty() ? 503 : 0, rig.outcome(request));
+        CHECK_EQ(homes.server, rig.sends.empty() ? "" : rig.lastSend().server);
+    }
+}
+
+TEST(EdgeTenants, homesBindFurtherAttempts) {
+    constexpr auto REPEATABLE = R"(,"MaxTries":3,"repeatable":true)";
+    auto rig = TenantFixture(REPEATABLE, tenantsWithHomes(R"(["far"])"));
+    rig.listServers({{"x", "near"}, {"y", "far"}});
+    auto request = rig.sendWithKey("key-one");
+    CHECK(rig.sendFirstByte(request));
+    rig.edge->onConnectionLost(request, 1, "reset", rig.now);
+    for (auto& send : rig.sends) CHECK_EQ(std::string("y"), send.server);
+}
+
+TEST(EdgeTenants, newHomesBindBeforeTheFirstByte) {
+    auto rig = TenantFixture("", tenantsWithHomes(R"(["near"])"));
+    auto request = rig.sendWithKey("key-one");
+    CHECK_EQ(std::string("x"), rig.lastSend().server);
+    CHECK_EQ(200, rig.orderTenants(tenantsWithHomes(R"(["far"])")));
+    CHECK(!rig.sendFirstByte(request));
+    CHECK_EQ(503, rig.outcome(request));
+    CHECK_EQ(std::size_t(1), rig.sends.size());
+}
+
 }  // namespace duneturn
