--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr auto LEAST_FITNESS = 0.3;           // below it a server is used only where no fitter one is left
+constexpr auto CLIENTS_REGION = "@near";      // as a home: wherever the client is
 constexpr auto URGENT = 5;                    // from this urgency on a request may fill a server
 constexpr auto LESS_URGENT_THRESHOLD = 0.85;  // less urgent work leaves a little room for what is more urgent
 constexpr auto QUEUE_SHARE =
@@ -81,6 +82,7 @@
 
 // What may be done with a route's requests, and for how long.
 auto readLimits(const rapidjson::Value& value, const RouteTable& table, Route& route) -> void {
+    route.isPublic = jsonBool(value, "public");
     route.stream = jsonBool(value, "stream");
     route.resumable = jsonBool(value, "Resumable");
     route.repeatable = jsonBool(value, "repeatable");
@@ -126,6 +128,13 @@
     table.routes.push_back(std::move(route));
 }
 
+auto urgencyLevelsOf(const RouteTable& table) -> UrgencyLevels {
+    auto levels = UrgencyLevels();
+    for (auto& [name, tenant] : table.tenants().all()) levels.addTenantRank(tenant.rank);
+    for (auto& route : table.routes) levels.addRouteUrgency(route.urgency);
+    return levels;
+}
+
 // A host without its port.
 auto withoutPort(std::string_view host) -> std::string_view {
     if (host.empty() || host.back() == ']') return host;  // the colons of an address in brackets are no port
@@ -134,9 +143,12 @@
 
 }  // namespace
 
-auto compileRoutes(const rapidjson::Value& config, std::int64_t configVersion) -> RouteTable {
+auto compileRoutes(std::shared_ptr<const Configuration> configuration, std::int64_t configVersion)
+    -> RouteTable {
     auto table = RouteTable();
+    table.configuration = std::move(configuration);
     table.configVersion = configVersion;
+    auto& config = table.configuration->json();
     readFigures(config, table);
     readServices(config, table);
     readModels(config, table);
@@ -149,9 +161,31 @@
         route.steps = selectionSteps(route);
         addRoute(table, std::move(route));
     }
+    table.urgencyLevels = urgencyLevelsOf(table);
     return table;
 }
 
+auto homeRegion(const std::string& home, const std::string& clientRegion) -> const std::string& {
+    return home == CLIENTS_REGION ? clientRegion : home;
+}
+
+auto narrowHomes(Route& route, const std::vector<std::string>& homes, const std::string& clientRegion)
+    -> bool {
+    if (homes.empty()) return true;
+    auto isHomeOfRoute = [&](const std::string& region) {
+        return route.homes.empty() || std::any_of(route.homes.begin(), route.homes.end(), [&](auto& home) {
+            return homeRegion(home, clientRegion) == region;
+        });
+    };
+    auto regions = std::vector<std::string>();
+    for (auto& home : homes)
+        if (auto& region = homeRegion(home, clientRegion); isHomeOfRoute(region)) regions.push_back(region);
+    if (regions.empty()) return false;
+    route.homes = std::move(regions);
+    route.steps = selectionSteps(route);
+    return true;
+}
+
 // Of one host and path the route of this very method counts first, then the first named.
 auto RouteTable::matchMethod(
     const Table<std::vector<int>>& paths, std::string_view method, std::string_view path) const -> int {
