--- a/src/cli/simulate_command.cpp
+++ b/src/cli/simulate_command.cpp
@@ -16,6 +16,7 @@
 DEFINE_double(per_minute, 12, "simulate: faults a minute");
 DEFINE_string(world, "roster", "simulate: roster, platform (the fleet as deployed) or platform-large");
 DEFINE_bool(closing, true, "simulate, platform: most days end with a fault right after an acknowledgement");
+DEFINE_bool(tenants, false, "simulate, platform: configurations have tenants, whose keys clients send");
 DEFINE_string(place, "", "simulate: a simpler placement, random or least");
 DEFINE_int64(leave_limit_us, 5000000, "simulate: time after which nothing new reaches a leaving server");
 DEFINE_bool(trace, false, "simulate: print the trace as it goes");
@@ -26,7 +27,7 @@
 constexpr auto HELP = R"(--example DIR --seed N --runs N --duration_us --scale --faults all|KIND,…
 --per_minute --broken VARIANT --place random|least --leave_limit_us --trace --json
 --world platform|platform-large --seed N --runs N --duration_us --per_minute
---faults KIND,… --broken VARIANT --noclosing --trace
+--faults KIND,… --broken VARIANT --noclosing --tenants --trace
 )";
 
 auto simulatePlatformDays() -> int {
@@ -38,6 +39,7 @@
     if (FLAGS_faults != "all") options.faults = splitCommas(FLAGS_faults);
     options.closing = FLAGS_closing;
     options.broken = FLAGS_broken;
+    options.tenants = FLAGS_tenants;
     options.trace = FLAGS_trace;
     return sim::simulatePlatform(options, FLAGS_runs);
 }
