Quotas are counted as one: nodes report to one granter, whose ledger voters mirror

A tenant that sent many times its usual was served without bound (QUOTA): nothing was counted. Now a request of a limited tenant needs a token. The leader of the voters grants tokens (QuotaGranter), nodes report what they spent (QuotaService), and the edge takes a token at admission, spends it with the first byte to the first server, and gives it back if nothing was sent (QuotaAdmission). A report whose granter is silent goes by way of another node. ctl tenants shows the ledger.

--- a/src/cli/ctl.cpp
+++ b/src/cli/ctl.cpp
@@ -16,6 +16,7 @@
 
   status                      this node in a few words
   nodes, servers              what this node knows of them
+  tenants                     use of the tenants' quotas: all of it on the granter, else the tokens here
   config                      the newest configuration, read back from the log
   apply FILE                  puts FILE in force as the whole configuration
   change FILE                 lays FILE onto it as a merge patch (RFC 7396)
--- a/src/cli/ctl_run.cpp
+++ b/src/cli/ctl_run.cpp
@@ -46,6 +46,7 @@
         {"servers", 0, &CtlRun::servers},
         {"beliefs", 0, &CtlRun::beliefs},
         {"where", 0, &CtlRun::where},
+        {"tenants", 0, &CtlRun::tenants},
         {"config", 0, &CtlRun::config},
         {"apply", 1, &CtlRun::apply},
         {"change", 1, &CtlRun::change},
--- a/src/cli/ctl_run.hpp
+++ b/src/cli/ctl_run.hpp
@@ -42,6 +42,7 @@
     auto servers() -> Exit;
     auto beliefs() -> Exit;
     auto where() -> Exit;
+    auto tenants() -> Exit;
     auto config() -> Exit;
     auto apply() -> Exit { return putConfig("PUT", "config"); }
     auto change() -> Exit { return putConfig("PATCH", "patch"); }
--- a/src/cli/ctl_views.cpp
+++ b/src/cli/ctl_views.cpp
@@ -43,6 +43,17 @@
     return exit_;
 }
 
+auto CtlRun::tenants() -> Exit {
+    if (!get("/v1/tenants")) return exit_;
+    if (!options_.json) fmt::print("granter {}\n", jsonString(answer_, "granter"));
+    if (options_.json || !answer_["tenants"].Empty())
+        showTable("tenants", {"name", "limit", "bound", "spent", "outstanding", "refused"});
+    else
+        for (auto& member : answer_["held"].GetObject())
+            fmt::print("{:<18}{} tokens here\n", member.name.GetString(), cellText(member.value));
+    return exit_;
+}
+
 auto CtlRun::config() -> Exit { return showAnswer("GET", "/v1/config"); }
 
 auto CtlRun::plan() -> Exit {
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -81,6 +81,7 @@
         {verb::get, "/metrics", &OperatorApi::metrics},
         {verb::get, "/v1/status", &OperatorApi::status},
         {verb::get, "/v1/beliefs", &OperatorApi::beliefs},
+        {verb::get, "/v1/tenants", &OperatorApi::tenants},
         {verb::get, "/v1/exchanges", &OperatorApi::requests},
         {verb::get, "/v1/exchanges/*", &OperatorApi::explain},
         {verb::get, "/v1/decisions", &OperatorApi::decisions},
@@ -149,6 +150,11 @@
     co_return jsonAnswer(logic_.node->beliefs(bootNow()));
 }
 
+auto OperatorApi::tenants(const Call&) -> asio::awaitable<HttpResponse> {
+    auto lock = std::lock_guard(logic_.mutex);
+    co_return jsonAnswer(logic_.node->tenantsText());
+}
+
 auto OperatorApi::requests(const Call&) -> asio::awaitable<HttpResponse> {
     auto lock = std::lock_guard(logic_.mutex);
     co_return jsonAnswer(logic_.edge->liveRequestsJson(bootNow()));
--- a/src/daemon/operator_api.hpp
+++ b/src/daemon/operator_api.hpp
@@ -50,6 +50,7 @@
     auto metrics(const Call& call) -> asio::awaitable<HttpResponse>;
     auto status(const Call& call) -> asio::awaitable<HttpResponse>;
     auto beliefs(const Call& call) -> asio::awaitable<HttpResponse>;
+    auto tenants(const Call& call) -> asio::awaitable<HttpResponse>;
     auto requests(const Call& call) -> asio::awaitable<HttpResponse>;
     auto explain(const Call& call) -> asio::awaitable<HttpResponse>;
     auto decisions(const Call& call) -> asio::awaitable<HttpResponse>;
--- a/src/membership/node.cpp
+++ b/src/membership/node.cpp
@@ -50,7 +50,12 @@
               adoptReceived(state, change);
           }),
       orderService_(*this, counters),
-      orderClient_(*this, orderRetry(settings), firstOrderNumber(boot, seed)) {}
+      orderClient_(*this, orderRetry(settings), firstOrderNumber(boot, seed)),
+      quota_(context_, seed) {
+    quota_.onAnswer = [this] {
+        if (onQuotaAnswer) onQuotaAnswer(context_.now);
+    };
+}
 
 Node::~Node() = default;
 
@@ -102,6 +107,7 @@
     protocol_->answerPlatform(now);
     orderClient_.tick(context_.members.own().boot, now);
     if (context_.voter) tickVoter(now, wall);
+    quota_.tick();
     if (scan) publishCounters(now);
 }
 
--- a/src/membership/node.hpp
+++ b/src/membership/node.hpp
@@ -11,6 +11,7 @@
 //   state_publisher.hpp, state_receiver.hpp   the replicated state on its way between nodes
 //   cluster_bootstrap.hpp, disaster_recovery.hpp, voter_placement.hpp    who votes
 //   operation_scheduler.hpp, singleton_duty.hpp                          what one node does for all
+//   quota_service.hpp        tenants' quotas, counted as one over all nodes
 //   operator_views.hpp       what operators read
 #include <cstdint>
 #include <functional>
@@ -31,6 +32,7 @@
 #include "membership/node_context.hpp"
 #include "membership/node_port.hpp"
 #include "membership/operation_scheduler.hpp"
+#include "membership/quota_service.hpp"
 #include "membership/server_directory.hpp"
 #include "membership/state_receiver.hpp"
 
@@ -121,12 +123,18 @@
     std::function<void(std::int64_t)> onGrant;
     std::function<void()> onStateChange;
 
+    /// The tokens of tenants' quotas that this node may spend.
+    auto quota() -> QuotaAccount& { return quota_.account(); }
+    /// The granter of tokens has answered.
+    std::function<void(Microseconds now)> onQuotaAnswer;
+
     // What an operator reads, as JSON (operator_views.hpp).
     [[nodiscard]] auto beliefs(Microseconds now) const -> std::string;
     [[nodiscard]] auto where(const std::string& region, const std::string& zone, Microseconds now) const
         -> std::string;
     [[nodiscard]] auto status(Microseconds now) const -> std::string;
     [[nodiscard]] auto planText(Microseconds now) const -> std::string;
+    [[nodiscard]] auto tenantsText() const -> std::string { return quota_.viewJson(); }
 
     auto orderService() -> OrderService& { return orderService_; }
 
@@ -172,6 +180,7 @@
     OrderService orderService_;
     OrderClient orderClient_;
     OperationScheduler scheduler_;
+    QuotaService quota_;
     std::map<std::string, std::int64_t> grantsTaken_;  // the last one's number, by node
     std::int64_t grantsGiven_ = 0;
     std::vector<std::string> savedHints_;
--- a/src/membership/node_messages.cpp
+++ b/src/membership/node_messages.cpp
@@ -26,6 +26,7 @@
     if (has.orderRequest) serveOrder(envelope.orderRequest, now);
     if (has.orderReply) orderClient_.answered(envelope.orderReply, context_.members.own().boot, now);
     if (has.creditGrant) handleCreditGrant(envelope.creditGrant, envelope.node);
+    quota_.handle(envelope);
     if (context_.voter && !envelope.disk.empty()) {
         context_.voter->handle(envelope, now);
         orderService_.tick(*context_.voter, context_.wall, now);
--- /dev/null
+++ b/src/membership/quota_granter.cpp
@@ -0,0 +1,219 @@
+// QuotaGranter: how a leader becomes the granter, and its ledger's images on the other voters.
+#include "membership/quota_service.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.hpp"
+
+namespace duneturn {
+namespace {
+
+constexpr Microseconds ASK_INTERVAL = 100 * MILLISECOND;  // between two questions to the other voters
+/// How long the voters that have forgotten may keep the granter waiting for those that remember.
+constexpr Microseconds REMEMBER_TIMEOUT = 1 * SECOND;
+constexpr auto EPOCH_SHIFT = 32;  // of the epoch above the voters' term
+
+}  // namespace
+
+auto QuotaGranter::leaderTerm() const -> std::int64_t {
+    return context_.voter && context_.voter->ready() ? voterTerm() : 0;
+}
+
+auto QuotaGranter::voterTerm() const -> std::int64_t {
+    return (context_.voter->epoch() << EPOCH_SHIFT) + context_.voter->term();
+}
+
+auto QuotaGranter::setTenants(const TenantTable& tenants) -> void {
+    if (ledger_) ledger_->setTenants(tenants, context_.now);
+}
+
+auto QuotaGranter::tick() -> void {
+    if (context_.voter) replica();
+    auto term = leaderTerm();
+    if (term != term_) beginTerm(term);
+    if (!term_) return;
+    if (!ledger_) return collect();
+    ledger_->tick(context_.now);
+    if (ledger_->imageDue(context_.now)) sendImage();
+}
+
+auto QuotaGranter::beginTerm(std::int64_t term) -> void {
+    if (ledger_) logEvent("quota_granter_ended", "term={}", term_);
+    term_ = term;
+    ledger_.reset();
+    askedAt_ = promisedAt_ = 0;
+    promises_.clear();
+    heldSequences_.clear();
+    sentImages_.clear();
+}
+
+// ---- succession
+
+// Asks for what predecessors granted, until a majority has promised to follow none of them any more.
+auto QuotaGranter::collect() -> void {
+    auto now = context_.now;
+    if (!context_.state.configVersion()) {
+        auto nothing = wire::QuotaImage();  // there was never a limit
+        return activate(&nothing, 0);
+    }
+    if (promisedAt_ && now - promisedAt_ >= REMEMBER_TIMEOUT) return activate(nullptr, 0);
+    if (askedAt_ && now - askedAt_ < ASK_INTERVAL) return;
+    askedAt_ = now;
+    auto request = wire::QuotaImageRequest();
+    request.term = term_;
+    auto envelope = context_.envelope();
+    envelope.__set_quotaImageRequest(request);
+    sendToVoters(envelope);
+    auto own = wire::QuotaImageAnswer();
+    if (replica().promise(term_, window(), own, now)) handleImageAnswer(own, context_.members.own().node);
+}
+
+// A promise is only in memory; the voter's term, which a request may not run ahead of, is on its disk.
+auto QuotaGranter::handleImageRequest(const wire::QuotaImageRequest& request, const std::string& from)
+    -> void {
+    if (!context_.voter || request.term > voterTerm()) return;
+    auto answer = wire::QuotaImageAnswer();
+    if (!replica().promise(request.term, window(), answer, context_.now)) return;
+    auto envelope = context_.envelope();
+    envelope.__set_quotaImageAnswer(answer);
+    sendTo(from, envelope);
+}
+
+// A majority of those that remember has one in common with any majority that held a predecessor's image.
+auto QuotaGranter::handleImageAnswer(const wire::QuotaImageAnswer& answer, const std::string& from) -> void {
+    if (!term_ || ledger_ || answer.term != term_) return;
+    promises_[from] = {answer, context_.now};
+    auto promised = std::set<std::string>();
+    auto remembering = std::set<std::string>();
+    auto newest = static_cast<const Promise*>(nullptr);
+    auto order = [](const Promise& promise) {
+        return std::pair(promise.answer.image.term, promise.answer.image.sequence);
+    };
+    for (auto& [node, promise] : promises_) {
+        promised.insert(node);
+        if (!promise.answer.known) continue;
+        remembering.insert(node);
+        if (!newest || order(promise) > order(*newest)) newest = &promise;
+    }
+    if (!promisedAt_ && isMajority(promised)) promisedAt_ = context_.now;
+    if (!newest || !isMajority(remembering)) return;
+    activate(&newest->answer.image, newest->answer.age + context_.now - newest->at);
+}
+
+auto QuotaGranter::activate(const wire::QuotaImage* predecessors, Microseconds age) -> void {
+    ledger_.emplace(term_, predecessors, age, context_.counters, context_.now);
+    ledger_->setTenants(context_.state.configuration()->tenants(), context_.now);
+    logEvent("quota_granter_began", "term={} remembered={}", term_, predecessors != nullptr);
+    context_.counters.add("quota_terms_total");
+    sendImage();
+    if (context_.state.configVersion()) announce();
+}
+
+// All nodes learn who grants now, and bring along what they hold.
+auto QuotaGranter::announce() -> void {
+    auto grant = wire::QuotaGrant();
+    grant.term = term_;
+    grant.granter = context_.members.own().node;
+    for (auto& node : context_.members.aliveNodes(context_.now)) {
+        grant.node = node;
+        auto envelope = context_.envelope();
+        envelope.__set_quotaGrant(grant);
+        sendTo(node, envelope);
+    }
+}
+
+// ---- images
+
+auto QuotaGranter::sendImage() -> void {
+    auto image = ledger_->image(context_.now);
+    sentImages_.push_back({image.sequence, context_.now});
+    if (!replica().take(image, context_.now)) return;
+    heldSequences_[context_.members.own().node] = image.sequence;
+    auto envelope = context_.envelope();
+    envelope.__set_quotaImage(image);
+    sendToVoters(envelope);
+    noteHeld();
+}
+
+auto QuotaGranter::handleImage(const wire::QuotaImage& image, const std::string& from) -> void {
+    if (!context_.voter || image.term < voterTerm() || !replica().take(image, context_.now)) return;
+    auto reply = wire::QuotaImageReply();
+    reply.term = image.term;
+    reply.sequence = image.sequence;
+    auto envelope = context_.envelope();
+    envelope.__set_quotaImageReply(reply);
+    sendTo(from, envelope);
+}
+
+auto QuotaGranter::handleImageReply(const wire::QuotaImageReply& reply, const std::string& from) -> void {
+    if (!ledger_ || reply.term != term_) return;
+    auto& held = heldSequences_[from];
+    held = std::max(held, reply.sequence);
+    noteHeld();
+}
+
+// The newest image that a majority holds, or a newer one in its place.
+auto QuotaGranter::noteHeld() -> void {
+    while (!sentImages_.empty()) {
+        auto oldest = sentImages_.front();
+        auto holders = std::set<std::string>();
+        for (auto& [node, sequence] : heldSequences_)
+            if (sequence >= oldest.sequence) holders.insert(node);
+        if (!isMajority(holders)) return;
+        ledger_->imageHeld(oldest.sequence, oldest.sentAt);
+        sentImages_.erase(sentImages_.begin());
+    }
+}
+
+// ---- reports
+
+auto QuotaGranter::handleReport(const wire::QuotaReport& report, const std::string& from) -> void {
+    if (!ledger_ || !ledger_->hasAuthority(context_.now)) return;
+    auto grant = ledger_->take(report.node, report, context_.now);
+    grant.granter = context_.members.own().node;
+    auto envelope = context_.envelope();
+    envelope.__set_quotaGrant(grant);
+    sendTo(from, envelope);
+    if (ledger_->imageDue(context_.now)) sendImage();
+}
+
+// ---- voters
+
+auto QuotaGranter::voters() const -> VoterConfiguration {
+    auto& voter = *context_.voter;
+    if (!voter.joint()) return VoterConfiguration(voter.voters());
+    return VoterConfiguration::joint(voter.outgoingVoters(), voter.voters());
+}
+
+auto QuotaGranter::isMajority(const std::set<std::string>& nodes) const -> bool {
+    auto configuration = voters();
+    auto nodeOf = std::map<std::string, std::string>();
+    for (auto& voter : configuration.voters()) nodeOf[voter.disk] = voter.node;
+    for (auto& voter : configuration.outgoing()) nodeOf[voter.disk] = voter.node;
+    return configuration.hasMajority([&](auto& disk) { return nodes.count(nodeOf[disk]) > 0; }, {});
+}
+
+auto QuotaGranter::sendToVoters(const wire::Envelope& envelope) -> void {
+    auto nodes = std::set<std::string>();
+    auto configuration = voters();
+    for (auto& voter : configuration.voters()) nodes.insert(voter.node);
+    for (auto& voter : configuration.outgoing()) nodes.insert(voter.node);
+    nodes.erase(context_.members.own().node);
+    for (auto& node : nodes) sendTo(node, envelope);
+}
+
+auto QuotaGranter::sendTo(const std::string& node, const wire::Envelope& envelope) -> void {
+    if (auto record = context_.members.find(node)) context_.port.send(record->peer, envelope);
+}
+
+auto QuotaGranter::window() const -> Microseconds {
+    return context_.state.configuration()->tenants().bounds().window;
+}
+
+auto QuotaGranter::replica() -> QuotaReplica& {
+    if (!replica_) replica_.emplace(context_.startedAt ? context_.startedAt : context_.now);
+    return *replica_;
+}
+
+}  // namespace duneturn
--- /dev/null
+++ b/src/membership/quota_service.cpp
@@ -0,0 +1,137 @@
+#include "membership/quota_service.hpp"
+
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "base/hash.hpp"
+#include "base/json.hpp"
+
+namespace duneturn {
+namespace {
+
+/// Without an answer for so long, reports go by way of another node as well.
+constexpr Microseconds RELAY_AFTER = 300 * MILLISECOND;
+/// Without an answer for so long, the leader that others know of is asked in the granter's place.
+constexpr Microseconds GRANTER_LOST = 1 * SECOND;
+
+/// A number that no other process has.
+auto lifeOf(const NodeContext& context, std::uint64_t seed) -> std::int64_t {
+    auto& own = context.members.own();
+    return std::int64_t(hash64(fmt::format("{} {}", own.node, own.boot), seed) >> 1);
+}
+
+}  // namespace
+
+QuotaService::QuotaService(NodeContext& context, std::uint64_t seed)
+    : context_(context), account_(lifeOf(context, seed), context.counters), granter_(context) {}
+
+auto QuotaService::stateChanged() -> void {
+    auto configuration = context_.state.configuration();
+    if (configuration == configuration_) return;
+    configuration_ = configuration;
+    account_.setTenants(configuration->tenants(), context_.now);
+    granter_.setTenants(configuration->tenants());
+}
+
+auto QuotaService::tick() -> void {
+    stateChanged();
+    granter_.tick();
+    if (account_.reportDue(context_.now)) sendReport();
+}
+
+auto QuotaService::handle(const wire::Envelope& envelope) -> void {
+    auto& has = envelope.__isset;
+    auto& from = envelope.node;
+    if (has.quotaReport) handleReport(envelope.quotaReport, from);
+    if (has.quotaGrant) handleGrant(envelope.quotaGrant, from);
+    if (has.quotaImage) granter_.handleImage(envelope.quotaImage, from);
+    if (has.quotaImageReply) granter_.handleImageReply(envelope.quotaImageReply, from);
+    if (has.quotaImageRequest) granter_.handleImageRequest(envelope.quotaImageRequest, from);
+    if (has.quotaImageAnswer) granter_.handleImageAnswer(envelope.quotaImageAnswer, from);
+}
+
+// ---- reports
+
+auto QuotaService::sendReport() -> void {
+    auto granter = granterNode();
+    if (granter.empty()) return;
+    auto now = context_.now;
+    auto report = account_.report(now);
+    report.node = context_.members.own().node;
+    report.granter = granter;
+    auto isLate = unansweredSince_ && now - unansweredSince_ > RELAY_AFTER;
+    if (!unansweredSince_) unansweredSince_ = now;
+    auto envelope = context_.envelope();
+    envelope.__set_quotaReport(report);
+    sendTo(granter, envelope);
+    if (auto relay = isLate ? relayTo(granter) : ""; !relay.empty()) {
+        context_.counters.add("quota_reports_relayed_total");
+        sendTo(relay, envelope);
+    }
+}
+
+// A granter that has been silent may have been succeeded; the leader that others know of may be behind too.
+auto QuotaService::granterNode() const -> std::string {
+    auto leader = context_.members.leaderNode(context_.now);
+    auto& granter = account_.granter();
+    auto isLost = unansweredSince_ && context_.now - unansweredSince_ > GRANTER_LOST;
+    return granter.empty() || (isLost && !leader.empty()) ? leader : granter;
+}
+
+// Another node that may reach the granter; each time the next one.
+auto QuotaService::relayTo(const std::string& granter) -> std::string {
+    auto others = std::vector<std::string>();
+    for (auto& [name, known] : context_.members.others())
+        if (name != granter && context_.members.isAlive(known, context_.now)) others.push_back(name);
+    return others.empty() ? "" : others[relays_++ % others.size()];
+}
+
+// A report for another node is passed on once, by the node that its sender gave it to.
+auto QuotaService::handleReport(const wire::QuotaReport& report, const std::string& from) -> void {
+    if (report.granter == context_.members.own().node) return granter_.handleReport(report, from);
+    if (from != report.node) return;
+    auto envelope = context_.envelope();
+    envelope.__set_quotaReport(report);
+    sendTo(report.granter, envelope);
+}
+
+auto QuotaService::handleGrant(const wire::QuotaGrant& grant, const std::string& from) -> void {
+    if (grant.node != context_.members.own().node) {
+        if (from != grant.granter) return;
+        auto envelope = context_.envelope();
+        envelope.__set_quotaGrant(grant);
+        return sendTo(grant.node, envelope);
+    }
+    if (!account_.take(grant, context_.now)) return;
+    unansweredSince_ = 0;
+    if (onAnswer) onAnswer();
+}
+
+auto QuotaService::sendTo(const std::string& node, const wire::Envelope& envelope) -> void {
+    if (node == context_.members.own().node) return handle(envelope);
+    if (auto record = context_.members.find(node)) context_.port.send(record->peer, envelope);
+}
+
+// ---- what operators see
+
+auto QuotaService::viewJson() const -> std::string {
+    auto tenants = std::string();
+    if (auto& ledger = granter_.ledger())
+        for (auto& view : ledger->views(context_.now))
+            tenants += (tenants.empty() ? "" : ",")
+                       + bodyOf({{"name", jsonQuote(view.tenant)}, {"limit", fmt::to_string(view.limit)},
+                           {"bound", fmt::to_string(view.bound)}, {"spent", fmt::to_string(view.spent)},
+                           {"outstanding", fmt::to_string(view.outstanding)},
+                           {"refused", fmt::to_string(view.refused)}});
+    auto held = std::string();
+    if (configuration_)
+        for (auto& [name, tenant] : configuration_->tenants().all())
+            if (auto tokens = account_.available(name, context_.now))
+                held +=
+                    (held.empty() ? "" : ",") + fmt::format("{}:{}", jsonQuote(name), tokens);
+    return bodyOf({{"granter", jsonQuote(account_.granter())}, {"term", fmt::to_string(account_.term())},
+        {"held", "{" + held + "}"}, {"tenants", "[" + tenants + "]"}});
+}
+
+}  // namespace duneturn
--- a/src/membership/quota_service.hpp
+++ b/src/membership/quota_service.hpp
@@ -32,9 +32,9 @@
     auto tick() -> void;
     auto handleReport(const wire::QuotaReport& report, const std::string& from) -> void;
     auto handleImage(const wire::QuotaImage& image, const std::string& from) -> void;
-    auto handleImageReply(const wire::QuotaImageReply& reply, const std::string& disk) -> void;
+    auto handleImageReply(const wire::QuotaImageReply& reply, const std::string& from) -> void;
     auto handleImageRequest(const wire::QuotaImageRequest& request, const std::string& from) -> void;
-    auto handleImageAnswer(const wire::QuotaImageAnswer& answer, const std::string& disk) -> void;
+    auto handleImageAnswer(const wire::QuotaImageAnswer& answer, const std::string& from) -> void;
     /// Whether this node grants now.
     [[nodiscard]] auto isActive() const -> bool { return ledger_.has_value(); }
     [[nodiscard]] auto ledger() const -> const std::optional<QuotaLedger>& { return ledger_; }
@@ -52,28 +52,35 @@
     auto announce() -> void;
     auto sendImage() -> void;
     auto noteHeld() -> void;
+    /// The term that this node's disk has, as granters are ordered.
+    [[nodiscard]] auto voterTerm() const -> std::int64_t;
     [[nodiscard]] auto voters() const -> VoterConfiguration;
-    [[nodiscard]] auto isMajority(const std::set<std::string>& disks) const -> bool;
-    auto sendToVoters(wire::Envelope& envelope) -> void;
+    /// Whether these nodes are a majority of the voters.
+    [[nodiscard]] auto isMajority(const std::set<std::string>& nodes) const -> bool;
+    auto sendToVoters(const wire::Envelope& envelope) -> void;
+    auto sendTo(const std::string& node, const wire::Envelope& envelope) -> void;
     [[nodiscard]] auto window() const -> Microseconds;
     auto replica() -> QuotaReplica&;
 
     NodeContext& context_;
     std::optional<QuotaReplica> replica_;
     std::optional<QuotaLedger> ledger_;
-    std::int64_t term_ = 0;  // that is being collected for, or granted in; 0: none
-    Microseconds askedAt_ = 0, promisedAt_ = 0;
-    std::map<std::string, wire::QuotaImageAnswer> answers_;  // by disk
-    std::map<std::string, Microseconds> answeredAt_;         // by disk
-    std::map<std::string, std::int64_t> heldSequences_;      // the newest image that a disk's voter holds
-    std::vector<SentImage> sentImages_;                      // that no majority holds yet, oldest first
-    Microseconds imageSentAt_ = 0;
+    std::int64_t term_ = 0;                      // that is being collected for, or granted in; 0: none
+    Microseconds askedAt_ = 0, promisedAt_ = 0;  // the last question; when a majority had promised
+    struct Promise {
+        wire::QuotaImageAnswer answer;
+        Microseconds at = 0;
+    };
+    std::map<std::string, Promise> promises_;            // by the voter's node
+    std::map<std::string, std::int64_t> heldSequences_;  // of the newest image that a voter's node holds
+    std::vector<SentImage> sentImages_;                  // that no majority holds yet, oldest first
 };
 
 /// The quotas at one node.
 class QuotaService {
   public:
-    explicit QuotaService(NodeContext& context);
+    /// `seed`: of this process alone.
+    QuotaService(NodeContext& context, std::uint64_t seed);
 
     /// The replicated state held here has changed.
     auto stateChanged() -> void;
@@ -92,13 +99,14 @@
     auto handleGrant(const wire::QuotaGrant& grant, const std::string& from) -> void;
     [[nodiscard]] auto granterNode() const -> std::string;
     [[nodiscard]] auto relayTo(const std::string& granter) -> std::string;
-    auto sendTo(const std::string& node, wire::Envelope& envelope) -> void;
+    auto sendTo(const std::string& node, const wire::Envelope& envelope) -> void;
 
     NodeContext& context_;
     QuotaAccount account_;
     QuotaGranter granter_;
     std::shared_ptr<const Configuration> configuration_;
     Microseconds unansweredSince_ = 0;  // when the oldest report was sent that got no answer; 0: none
+    std::size_t relays_ = 0;            // chosen so far
 };
 
 }  // namespace duneturn
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -21,7 +21,8 @@
 constexpr auto UNROUTED_TIMEOUT = 10 * SECOND;    // of a request that has no route
 constexpr auto EVACUATION_GRACE = 4 * SECOND;     // for which an evacuated zone's node still serves
 constexpr auto BYTES_PER_TOKEN = std::size_t(4);  // of a body, where nobody counts its tokens
-constexpr auto FAILURES_OF_A_ROUTE = 2;           // after which the rest of a route's queue waits
+constexpr auto BEYOND_QUOTA = "its tenant is beyond its limit";
+constexpr auto FAILURES_OF_A_ROUTE = 2;  // after which the rest of a route's queue waits
 
 // Requests of a route that may go to the same servers; a tenant may narrow its homes.
 struct PlacesOfRoute {
@@ -49,12 +50,28 @@
     limits.immovable = limits.sequenceTokens > request.route.maxSequenceTokens || !request.relayed.countable;
     noteAcceptance(request, now);
     counters_.add("accepted_total");
+    auto answer = quota_.ask(request, now);
+    if (answer == QuotaAnswer::Refused) return refuse({429, BEYOND_QUOTA});
+    if (answer == QuotaAnswer::Granted) proceed(request, now);
+    return request.id;
+}
+
+// The request is dispatched, or queued.
+auto Edge::proceed(Request& request, Microseconds now) -> void {
     if (dialect_.clientNamesRequests) selection_.recordClaim(request);
     // Nobody goes ahead of those who wait for the same servers with no less urgency.
-    if (backlog_.isEmpty(request.route.service) && dispatch(request, now)) return request.id;
+    if (backlog_.isEmpty(request.route.service) && dispatch(request, now)) return;
     if (request.phase() != Phase::Finished && !enqueue(request, now))
-        return refuse({503, "the servers are full and so is the queue"});
-    return request.id;
+        fail(request, 503, "the servers are full and so is the queue", now);
+}
+
+auto Edge::serveQuotaWaiters(Microseconds now) -> void {
+    auto settle = [&](Request& request, QuotaVerdict verdict) {
+        if (verdict == QuotaVerdict::Admitted) return proceed(request, now);
+        if (verdict == QuotaVerdict::Refused) return fail(request, 429, BEYOND_QUOTA, now);
+        fail(request, 503, "its tenant's quota could not be asked for in time", now);
+    };
+    quota_.serveWaiting(settle, now);
 }
 
 // What is known of a request before anything of it is checked.
--- a/src/routing/completion.cpp
+++ b/src/routing/completion.cpp
@@ -57,7 +57,7 @@
 auto Edge::replyFailure(Request& request, int status, const std::string& why) -> void {
     auto mayHaveRun = request.attempts.tracker.mayHaveRun();
     auto headers = Headers{{"Content-Type", "application/json"}};
-    if (status >= 500) {  // else coming back changes nothing
+    if (status >= 500 || status == 429) {  // else coming back changes nothing
         auto after = std::string("1");
         if (dialect_.clientNamesRequests) {
             auto spread = refusingNew_ ? 0 : RETRY_AFTER_STEP * double(random_.below(RETRY_AFTER_STEPS));
@@ -78,6 +78,7 @@
         statistics_.ofService(request.route.service).recordHoldTime(now - attempts.chosenAt);
     release(request);
     backlog_.leave(request);
+    quota_.release(request, now);
     turn(request, counters_, PhaseEvent::End);
     if (broken.badStep) turn(request, counters_, PhaseEvent::Loss);
     note(request, fmt::format("+{} us {}", now - request.received.acceptedAt, how));
--- a/src/routing/dispatch.cpp
+++ b/src/routing/dispatch.cpp
@@ -20,6 +20,7 @@
 constexpr auto UNSTATED_MEMORY_TOKENS = std::int64_t(1 << 18);  // of an engine of which nothing is said
 constexpr auto HELD_UP = 250 * MILLISECOND;  // after which a cold server is asked for a place again
 constexpr auto MAX_HELD_BACK = 3;            // attempts given up just before the first byte
+constexpr auto TOKEN_LAPSED = "its token of its tenant's quota has lapsed";
 
 }  // namespace
 
@@ -138,6 +139,11 @@
         holdBack(*request, why, now);
         return false;
     }
+    if (!quota_.spend(*request, now)) {
+        giveUpAttempt(*request, TOKEN_LAPSED, now);
+        fail(*request, 503, TOKEN_LAPSED, now);
+        return false;
+    }
     budget_.recordAttempt(*request, now);
     auto& attempts = request->attempts;
     attempts.sent++;
--- a/src/routing/edge.cpp
+++ b/src/routing/edge.cpp
@@ -25,10 +25,12 @@
       slowStart_(node, routes_, statistics_, fleet_, broken),
       budget_(routes_, dialect_, fleet_, counters, broken),
       backlog_(requests_, node, routes_, dialect_, statistics_, fleet_, broken),
+      quota_(requests_, node, counters),
       selection_({node, routes_, dialect_, fleet_, broken, statistics_, slowStart_, random_}),
       migration_(routes_, dialect_, statistics_, broken) {
     node_.onStateChange = [this] { takeState(); };
     node_.onGrant = [this](std::int64_t credit) { budget_.receiveGrant(credit); };
+    node_.onQuotaAnswer = [this](Microseconds now) { serveQuotaWaiters(now); };
     takeState();
 }
 
@@ -83,6 +85,7 @@
     }
     for (auto& [id, request] : requests_)
         if (request.phase() != Phase::Finished) tickRequest(request, now);
+    serveQuotaWaiters(now);
     serveQueue(now);
     for (auto id : finished_) requests_.erase(id);
     finished_.clear();
--- a/src/routing/edge.hpp
+++ b/src/routing/edge.hpp
@@ -3,7 +3,8 @@
 //
 //   route match         route_table, route_binding   which route a request has
 //   tenant              tenant_admission             whose request it is, by its key
-//   admission, queue    admission, backlog           taken, queued by urgency, or refused
+//   admission, queue    admission, quota_admission,  taken, queued by urgency, or refused
+//                       backlog
 //   candidate filters   candidate_filters, slow_start, outlier_ejection, server_selection
 //   scoring             scoring, server_statistics, prefix_cache
 //   retry budget        retry_budget                 what further attempts are paid from
@@ -35,6 +36,7 @@
 #include "routing/headers.hpp"
 #include "routing/migration.hpp"
 #include "routing/prompt_prefix.hpp"
+#include "routing/quota_admission.hpp"
 #include "routing/refusal.hpp"
 #include "routing/request.hpp"
 #include "routing/retry_budget.hpp"
@@ -144,6 +146,8 @@
         -> void;
     auto readResumption(Request& request, Microseconds now) -> std::optional<Refusal>;
     auto noteAcceptance(Request& request, Microseconds now) -> void;
+    auto proceed(Request& request, Microseconds now) -> void;
+    auto serveQuotaWaiters(Microseconds now) -> void;
     auto enqueue(Request& request, Microseconds now) -> bool;
     auto rebindQueue(Microseconds now) -> void;
     auto serveQueue(Microseconds now) -> void;
@@ -221,6 +225,7 @@
     SlowStart slowStart_;
     RetryBudget budget_;
     Backlog backlog_;
+    QuotaAdmission quota_;
     ServerSelection selection_;
     Migration migration_;
     KnownBeginnings beginnings_;
--- a/src/routing/request.hpp
+++ b/src/routing/request.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/time.hpp"
+#include "quota/quota_account.hpp"
 #include "routing/attempt_state.hpp"
 #include "routing/headers.hpp"
 #include "routing/route_table.hpp"
@@ -88,6 +89,20 @@
     Microseconds until = 0;  ///< When it has waited long enough.
 };
 
+/// A request's claim on its tenant's quota.
+struct QuotaClaim {
+    enum class State {
+        None,      ///< It needs no token, or has none.
+        Waiting,   ///< It waits for one.
+        Reserved,  ///< It has one.
+        Spent,     ///< It was sent with one.
+    };
+    State state = State::None;
+    QuotaReservation reservation;
+    std::string tenant;           ///< For which it waits.
+    Microseconds waitsUntil = 0;  ///< When it has waited long enough.
+};
+
 /// One request, from its acceptance to its end.
 struct Request {
     std::int64_t id = 0;
@@ -98,6 +113,7 @@
     RelayedStream relayed;
     RequestLimits limits;
     QueuePlace queuePlace;
+    QuotaClaim quota;
     std::vector<std::string> trace;  ///< What was decided of it, for operators.
     std::unique_ptr<RequestMachine> machine;
 
