--- a/src/membership/quota_service.hpp
+++ b/src/membership/quota_service.hpp
@@ -63,10 +63,10 @@
     std::optional<QuotaLedger> ledger_;
     std::int64_t term_ = 0;  // that is being collected for, or granted in; 0: none
     Microseconds askedAt_ = 0, promisedAt_ = 0;
-    std::map<std::string, wire::QuotaImageAnswer> answers_;   // by disk
-    std::map<std::string, Microseconds> answeredAt_;          // by disk
-    std::map<std::string, std::int64_t> heldSequences_;       // the newest image that a disk's voter holds
-    std::vector<SentImage> sentImages_;                       // that no majority holds yet, oldest first
+    std::map<std::string, wire::QuotaImageAnswer> answers_;  // by disk
+    std::map<std::string, Microseconds> answeredAt_;         // by disk
+    std::map<std::string, std::int64_t> heldSequences_;      // the newest image that a disk's voter holds
+    std::vector<SentImage> sentImages_;                      // that no majority holds yet, oldest first
     Microseconds imageSentAt_ = 0;
 };
 
