Tenants of a configuration are checked, and their withdrawn keys are logged

Change: the schema takes tenants, quota and public routes. A node that takes a configuration logs tenant_keys_withdrawn with the tenant and the count.

--- a/src/membership/node_context.cpp
+++ b/src/membership/node_context.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/counters.hpp"
+#include "base/json.hpp"
 #include "base/log.hpp"
 #include "base/settings.hpp"
 #include "base/version.hpp"
@@ -63,7 +64,15 @@
     counters.add("word_pulled_total");
 }
 
+static auto logConfigurationInForce(const Configuration& older, const ReplicatedState& newer) -> void {
+    logEvent("config_in_force", "version={}", newer.configVersion());
+    for (auto& [tenant, count] : older.tenants().keysWithdrawnBy(newer.configuration()->tenants()))
+        logEvent("tenant_keys_withdrawn", "version={} tenant={} count={}", newer.configVersion(),
+            jsonQuote(tenant), count);
+}
+
 auto NodeContext::setState(const ReplicatedState& newer) -> void {
+    auto older = state.configuration();
     auto configVersion = state.configVersion();
     state = newer;
     voting = {};
@@ -72,8 +81,7 @@
     counters.set("word_generation", newer.version);
     counters.set("word_reign", newer.epoch);
     counters.set("config_generation", newer.configVersion());
-    if (configVersion != newer.configVersion())
-        logEvent("config_in_force", "version={}", newer.configVersion());
+    if (configVersion != newer.configVersion()) logConfigurationInForce(*older, newer);
 }
 
 auto NodeContext::nextInTurn(const std::vector<std::string>& addresses) -> const std::string& {
--- a/src/state/configuration_schema.cpp
+++ b/src/state/configuration_schema.cpp
@@ -17,6 +17,7 @@
       "pool":{"type":"string","minLength":1},"share":{"type":"integer","minimum":0,"maximum":1000000000}}}},
     "model":{"type":"string"},
     "stream":{"type":"boolean"},"Resumable":{"type":"boolean"},"repeatable":{"type":"boolean"},
+    "public":{"type":"boolean"},
     "MaxTries":{"type":"integer","minimum":1,"maximum":64},
     "home":{"type":"string","minLength":1},
     "homes":{"type":"array","maxItems":64,"items":{"type":"string","minLength":1}},
@@ -32,6 +33,15 @@
     "affinity":{"type":"integer","minimum":0,"maximum":1048576}
    }})";
 
+const char* const TENANT_SCHEMA = R"({"type":"object","additionalProperties":false,
+   "properties":{
+    "keys":{"type":"array","items":{"type":"string"}},
+    "rank":{"type":"integer","minimum":0,"maximum":9},
+    "ratePerS":{"type":"number","minimum":0,"maximum":1000000000},
+    "burst":{"type":"number","minimum":0,"maximum":1000000000},
+    "homes":{"type":"array","maxItems":64,"items":{"type":"string","minLength":1}}
+   }})";
+
 const char* const CONFIGURATION_SCHEMA = R"({
  "type":"object","additionalProperties":false,"required":["mappings"],
  "properties":{
@@ -57,6 +67,10 @@
     "headerReadUs":{"type":"integer","minimum":0},"idleUs":{"type":"integer","minimum":0}}},
   "cold":{"type":"object","additionalProperties":false,"properties":{
     "overrun":{"type":"number","minimum":0,"maximum":1000},"slack":{"type":"number","minimum":0,"maximum":1000000}}},
+  "quota":{"type":"object","additionalProperties":false,"properties":{
+    "windowUs":{"type":"integer","minimum":1000,"maximum":3600000000},
+    "overrun":{"type":"number","minimum":0,"maximum":1000},"slack":{"type":"number","minimum":0,"maximum":1000000}}},
+  "tenants":{"type":"object"},
   "origin":{"type":"object","additionalProperties":false,"properties":{
     "number":{"type":"integer"},"text":{"type":"string"}}},
   "mappings":{"type":"array","maxItems":20000}}})";
--- a/src/state/configuration_schema.hpp
+++ b/src/state/configuration_schema.hpp
@@ -8,7 +8,10 @@
 /// Of one route. That it names either `pool` or `pools` is a rule of the validation.
 extern const char* const ROUTE_SCHEMA;
 
-/// Of a configuration without its routes, which are checked one by one.
+/// Of one tenant. What its keys may be is a rule of tenant_validation.cpp.
+extern const char* const TENANT_SCHEMA;
+
+/// Of a configuration without its routes and tenants, which are checked one by one.
 extern const char* const CONFIGURATION_SCHEMA;
 
 /// A schema that is read once and used for many values.
--- a/src/state/configuration_validation.cpp
+++ b/src/state/configuration_validation.cpp
@@ -13,6 +13,7 @@
 
 #include "base/json.hpp"
 #include "state/configuration_schema.hpp"
+#include "state/tenant_validation.hpp"
 
 namespace duneturn {
 
@@ -22,6 +23,7 @@
 constexpr auto MAX_ROUTES = 20000U;           // as in CONFIGURATION_SCHEMA
 constexpr auto ROUTES = "mappings";
 constexpr auto ORIGIN = "origin";
+constexpr auto TENANTS = "tenants";
 
 auto nameOf(const rapidjson::Value& name) -> std::string {
     return {name.GetString(), name.GetStringLength()};
@@ -35,7 +37,7 @@
     auto& allocator = members.GetAllocator();
     for (auto& member : configuration.GetObject()) {
         auto name = std::string_view(member.name.GetString());
-        if (name == ROUTES || name == ORIGIN) continue;
+        if (name == ROUTES || name == ORIGIN || name == TENANTS) continue;
         members.AddMember(
             rapidjson::Value(member.name, allocator), rapidjson::Value(member.value, allocator), allocator);
     }
@@ -82,6 +84,7 @@
     if (routes.Size() > MAX_ROUTES)
         faults.push_back({"/mappings", fmt::format("breaks \"maxItems\": {}", MAX_ROUTES)});
     if (configuration.HasMember(ORIGIN)) checkOrigin(configuration[ORIGIN], faults);
+    if (configuration.HasMember(TENANTS)) checkTenants(configuration[TENANTS], MAX_FAULTS, faults);
     checkRouteSchemas(routes, faults);
     return faults;
 }
--- a/src/state/tenants.cpp
+++ b/src/state/tenants.cpp
@@ -1,7 +1,9 @@
 #include "state/tenants.hpp"
 
 #include <cstddef>
+#include <map>
 #include <random>
+#include <string>
 #include <utility>
 
 #include "base/hash.hpp"
@@ -66,6 +68,15 @@
     return nullptr;
 }
 
+auto TenantTable::keysWithdrawnBy(const TenantTable& newer) const -> std::map<std::string, std::size_t> {
+    auto withdrawn = std::map<std::string, std::size_t>();
+    for (auto& [hash, key] : keys_) {
+        auto holder = newer.findByKey(key.text);
+        if (!holder || holder->name != key.tenant) withdrawn[key.tenant]++;
+    }
+    return withdrawn;
+}
+
 auto TenantTable::find(std::string_view name) const -> const Tenant* {
     auto found = tenants_.find(name);
     return found == tenants_.end() ? nullptr : &found->second;
--- a/src/state/tenants.hpp
+++ b/src/state/tenants.hpp
@@ -1,5 +1,6 @@
 #pragma once
 // The tenants of a configuration: whose requests a key marks, and what each tenant may use.
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -46,6 +47,9 @@
     /// The tenant that holds a key; null if none does.
     [[nodiscard]] auto findByKey(std::string_view key) const -> const Tenant*;
     [[nodiscard]] auto find(std::string_view name) const -> const Tenant*;
+    /// How many keys of each tenant, by its name, no longer stand for it in `newer`; tenants that keep theirs
+    /// are left out.
+    [[nodiscard]] auto keysWithdrawnBy(const TenantTable& newer) const -> std::map<std::string, std::size_t>;
     [[nodiscard]] auto all() const -> const Tenants& { return tenants_; }
     [[nodiscard]] auto bounds() const -> const QuotaBounds& { return bounds_; }
 
