Fix: a document's tenants reach the product's configuration

Cause: the adapter translated the operator's document without Tenants, so that no node held a key to compare with. Change: Tenants and Public are part of the document's schema and are translated; what makes them invalid (two tenants with one key, a key or a tenant twice, texts that no header carries) is refused with 400 and the path. QuotaWindowS, QuotaOverrun and QuotaSlack come from the settings. Upsert and Remove of Tenants work as for the other lists.

--- a/tests/platform/platform_adapter_test.cpp
+++ b/tests/platform/platform_adapter_test.cpp
@@ -200,6 +200,28 @@
     CHECK_EQ(412u, site.put(p, "5"));
 }
 
+TEST(PlatformAdapter, tenantsAreReadBackWholeAndPatchedByName) {
+    auto site = Site();
+    auto tenants = std::string(
+        R"(, "Tenants" : [{"Name":"a","ApiKeys":["k1","k2"],"Rank":1,"RatePerS":140,"Burst":1.50},{"Name":"b","ApiKeys":["k3"]}])");
+    CHECK_EQ(200u, site.put(document(5, 100, tenants), "0"));
+    CHECK_EQ(document(5, 100, tenants), site.held());
+    auto withdraw = R"({"ConfigVersion":7,"Upsert":{"Tenants":[{"Name":"a","ApiKeys":["k2"],"Rank":1}]}})";
+    CHECK_EQ(200u, site.patch(withdraw, "5"));
+    CHECK(site.held().ends_with(
+        R"("Tenants":[{"Name":"a","ApiKeys":["k2"],"Rank":1},{"Name":"b","ApiKeys":["k3"]}]})"));
+    auto table = site.shell.state.configuration()->tenants();
+    CHECK(!table.findByKey("k1") && table.findByKey("k2") && table.findByKey("k3"));
+    auto shared = R"({"ConfigVersion":8,"Upsert":{"Tenants":[{"Name":"c","ApiKeys":["k3"]}]}})";
+    auto refusal = site.ask(http::verb::patch, "/v1/config", shared, "7");
+    CHECK_EQ(400u, refusal.result_int());
+    CHECK(refusal.body().find("/Tenants/2/ApiKeys/0: the same key as /Tenants/1/ApiKeys/0")
+        != std::string::npos);
+    CHECK(refusal.body().find("k3") == std::string::npos);
+    CHECK_EQ(200u, site.patch(R"({"ConfigVersion":8,"Remove":{"Tenants":["a","b"]}})", "7"));
+    CHECK(site.held().ends_with(R"("Tenants":[]})"));
+}
+
 // Another operator's change comes between the reading and the order.
 TEST(PlatformAdapter, oneOfTwoWins) {
     auto site = Site();
--- a/tests/platform/platform_settings_test.cpp
+++ b/tests/platform/platform_settings_test.cpp
@@ -42,6 +42,9 @@
 RetrySlack = 64
 ColdOverrun = 1.5
 ColdSlack = 5
+QuotaWindowS = 2.5
+QuotaOverrun = 0.2
+QuotaSlack = 30
 Strange = true
 ttl_max_s = 1.5
 [PlatformApi]
@@ -79,6 +82,23 @@
     CHECK_EQ(1.5, p->directoryTtl);
     CHECK_EQ(0.2, p->bounds.retryRatio);
     CHECK_EQ(5.0, p->bounds.coldSlack);
+    CHECK_EQ(2500 * MILLISECOND, p->bounds.quota.window);
+    CHECK_EQ(0.2, p->bounds.quota.overrun);
+    CHECK_EQ(30.0, p->bounds.quota.slack);
+}
+
+TEST(PlatformSettings, quotaBoundsHaveDefaults) {
+    auto text = SETTINGS;
+    for (auto name : {"QuotaWindowS", "QuotaOverrun", "QuotaSlack"}) {
+        auto begin = text.find(name);
+        text.erase(begin, text.find('\n', begin) + 1 - begin);
+    }
+    auto quota = parsePlatformSettings(text)->bounds.quota;
+    CHECK_EQ(QuotaBounds().window, quota.window);
+    CHECK_EQ(QuotaBounds().overrun, quota.overrun);
+    CHECK_EQ(QuotaBounds().slack, quota.slack);
+    for (auto invalid : {"QuotaWindowS = 0", "QuotaOverrun = -1", "QuotaSlack = \"a\""})
+        CHECK(!parsePlatformSettings(with(std::string(invalid).substr(0, 10), invalid)));
 }
 
 // One of several addresses that are equal is listened at once.
