--- a/tests/quota/quota_world.cpp
+++ b/tests/quota/quota_world.cpp
@@ -212,7 +212,7 @@
     }
     if (now_ < request.sendAt) return;
     if (random_.chance(0.02)) {
-        account.giveBack(request.reservation, clock(node));
+        account.returnToken(request.reservation, clock(node));
         request.isAbandoned = true;
         return;
     }
