A newer configuration is taken to the queue once, not with each tick

The queue was ordered twice every 20 ms, the first time only to find that nothing had changed. Now waiting requests are bound anew when the routes' revision has risen (Edge::rebindQueue). A test with real processes, of keys on one kept connection and of logs and views without keys, joins tests/fleet.sh (not run yet at this commit).

--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -182,6 +182,8 @@
 
 // A newer configuration binds those who wait too: it may refuse them, or change their order.
 auto Edge::rebindQueue(Microseconds now) -> void {
+    if (queueRevision_ == routes_.revision) return;
+    queueRevision_ = routes_.revision;
     for (auto request : backlog_.inOrder())
         if (auto refusal = rebindToNewest(*request)) fail(*request, refusal->status, refusal->why, now);
 }
--- a/src/routing/edge.hpp
+++ b/src/routing/edge.hpp
@@ -226,8 +226,9 @@
     KnownBeginnings beginnings_;
     DecisionLog decisions_;
     bool draining_ = false, refusingNew_ = false;
-    Microseconds evacuatedAt_ = 0;  // when this node's own zone was evacuated; -1 until the next tick
-    Microseconds prunedAt_ = 0;     // when unlisted servers were last forgotten
+    Microseconds evacuatedAt_ = 0;    // when this node's own zone was evacuated; -1 until the next tick
+    std::int64_t queueRevision_ = 0;  // of the routes that all waiting requests are bound to
+    Microseconds prunedAt_ = 0;       // when unlisted servers were last forgotten
 };
 
 }  // namespace duneturn
--- a/tests/fleet.sh
+++ b/tests/fleet.sh
@@ -104,5 +104,22 @@
 wait $cpid || fail "the drain cut a stream"
 grep -q '^event: done' drain.txt || fail "the drained stream is not whole"
 until_ok 20 "the stopped node is gone" gone lahore-east-3
+
+# Keys of tenants: on one connection each request is judged by itself, and no key is logged or shown.
+echo '{"tenants":{"district":{"keys":["key-of-the-district"]}}}' >tenants.json
+outcome 2 change tenants.json >/dev/null || fail "tenants"
+refused() { [ "$(curl -s -m 10 -o /dev/null -w '%{http_code}' "http://$(at 1)/tiles/1")" = 401 ]; }
+until_ok 20 "a request without a key is refused" refused
+one_connection() { # KEY…; "STATUS/NEW CONNECTIONS" of a request with each
+  local key arguments=()
+  for key in "$@"; do
+    arguments+=(--next -s -m 10 -o /dev/null -w '%{http_code}/%{num_connects} ' -H "X-Api-Key: $key" "http://$(at 1)/tiles/1")
+  done
+  curl "${arguments[@]:1}"
+}
+answered() { [ "$(one_connection key-of-the-district key-of-nobody key-of-the-district)" = '200/1 401/0 200/0 ' ]; }
+until_ok 20 "one connection, a key that is known, one that is not, and the first again" answered
+{ curl -s "http://$(op 1)/metrics"; ctl 1 --here --json live; ctl 1 --here --json status; cat run/radar/log/*; } >shown.txt
+! grep -q 'key-of-' shown.txt || fail "a key is shown: $(grep -m 1 'key-of-' shown.txt)"
 stop
 echo "all ok"
