--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -23,6 +23,13 @@
 constexpr auto BYTES_PER_TOKEN = std::size_t(4);  // of a body, where nobody counts its tokens
 constexpr auto FAILURES_OF_A_ROUTE = 2;           // after which the rest of a route's queue waits
 
+// Requests of a route that may go to the same servers; a tenant may narrow its homes.
+struct PlacesOfRoute {
+    std::string route;
+    std::vector<std::string> homes;
+    auto operator<=>(const PlacesOfRoute&) const = default;
+};
+
 }  // namespace
 
 auto Edge::accept(const std::string& method, const std::string& path, const Headers& headers,
@@ -34,25 +41,13 @@
         return request.id;
     };
     if (auto refusal = whyRefused(headers, now)) return refuse(*refusal);
-    auto index = routes_.match(method, request.received.host, path);
-    if (index < 0)
-        return refuse(routes_.configVersion ? Refusal{404, "no mapping for this path"}
-                                            : Refusal{503, "no configuration yet"});
-    request.limits.routesRevision = routes_.revision;
-    request.received.model = header(headers, dialect_.model);
-    request.route = routeFor(request.received, routes_.routes[std::size_t(index)], routes_);
+    if (auto refusal = bindAtFirst(request, headers)) return refuse(*refusal);
     // A long body may have taken a while; the client counts from the request's beginning.
     readRequest(request, headers, body, arrived > 0 ? std::min(arrived, now) : now);
     if (auto refusal = readResumption(request, now)) return refuse(*refusal);
     auto& limits = request.limits;
     limits.immovable = limits.sequenceTokens > request.route.maxSequenceTokens || !request.relayed.countable;
-    note(request,
-        fmt::format("accept: mapping {}, region {}, deadline {} us, migrations {}, sends {}{}",
-            request.route.name, request.received.region, limits.deadline - now, request.migrationsLeft(),
-            request.route.maxAttempts - request.attempts.sent,
-            limits.resumedByClient ? fmt::format(", resumed after event {} of weights {}",
-                request.relayed.lastEventId, request.relayed.weights)
-                                   : ""));
+    noteAcceptance(request, now);
     counters_.add("accepted_total");
     if (dialect_.clientNamesRequests) selection_.recordClaim(request);
     // Nobody goes ahead of those who wait for the same servers with no less urgency.
@@ -98,12 +93,32 @@
     return std::nullopt;
 }
 
+// The route and the tenant of a request that has just come in.
+auto Edge::bindAtFirst(Request& request, const Headers& headers) -> std::optional<Refusal> {
+    request.received.model = header(headers, dialect_.model);
+    request.tenant.key = ClientKey(headers, dialect_);
+    return bind(request, routes_);
+}
+
+auto Edge::noteAcceptance(Request& request, Microseconds now) -> void {
+    auto& limits = request.limits;
+    auto& tenant = request.tenant;
+    note(request,
+        fmt::format("accept: mapping {}{}, region {}, deadline {} us, migrations {}, sends {}{}",
+            request.route.name, tenant.isKnown() ? ", tenant " + tenant.name : "", request.received.region,
+            limits.deadline - now, request.migrationsLeft(),
+            request.route.maxAttempts - request.attempts.sent,
+            limits.resumedByClient ? fmt::format(", resumed after event {} of weights {}",
+                request.relayed.lastEventId, request.relayed.weights)
+                                   : ""));
+}
+
 // What the client says of its request in headers: how long it waits, and how long its prompt is.
 auto Edge::readRequest(
     Request& request, const Headers& headers, const std::string& body, Microseconds begunAt) -> void {
     auto& received = request.received;
     auto& limits = request.limits;
-    received.headers = headers;
+    received.headers = withoutTenantHeaders(headers, dialect_);
     received.body = body;
     limits.deadline = begunAt + request.route.timeout;
     if (auto text = header(headers, dialect_.deadlineMs); !text.empty())
@@ -165,20 +180,28 @@
     return true;
 }
 
+// A newer configuration binds those who wait too: it may refuse them, or change their order.
+auto Edge::rebindQueue(Microseconds now) -> void {
+    for (auto request : backlog_.inOrder())
+        if (auto refusal = rebindToNewest(*request)) fail(*request, refusal->status, refusal->why, now);
+}
+
 auto Edge::serveQueue(Microseconds now) -> void {
-    auto failures = std::map<std::string, int>();
+    rebindQueue(now);
+    auto failures = std::map<PlacesOfRoute, int>();
     for (auto request : backlog_.inOrder()) {
         if (now >= request->queuePlace.until) {
             fail(*request, 503, "no server had room in time", now);
             continue;
         }
         // After a few that found no room the rest of that route would not either.
-        if (failures[request->route.name] >= FAILURES_OF_A_ROUTE) continue;
+        auto& failed = failures[{request->route.name, request->route.homes}];
+        if (failed >= FAILURES_OF_A_ROUTE) continue;
         auto lines = request->trace.size();
         if (dispatch(*request, now)) {
             backlog_.leave(*request);
         } else {
-            failures[request->route.name]++;
+            failed++;
             if (request->phase() != Phase::Finished) request->trace.resize(lines);
         }
     }
