A granter without memory waits less: leases are shorter, and voters say since when they run

Leases last 3 s, authority 1 s; what predecessors granted lapses from the time on at which a voter that promised can have held an image last; where all voters have answered, the granter does not wait for more answers.

--- a/src/membership/quota_granter.cpp
+++ b/src/membership/quota_granter.cpp
@@ -2,6 +2,7 @@
 #include "membership/quota_service.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "base/log.hpp"
@@ -57,7 +58,7 @@
         auto nothing = wire::QuotaImage();  // there was never a limit
         return activate(&nothing, 0);
     }
-    if (promisedAt_ && now - promisedAt_ >= REMEMBER_TIMEOUT) return activate(nullptr, 0);
+    if (promisedAt_ && now - promisedAt_ >= REMEMBER_TIMEOUT) return activateWithoutMemory();
     if (askedAt_ && now - askedAt_ < ASK_INTERVAL) return;
     askedAt_ = now;
     auto request = wire::QuotaImageRequest();
@@ -97,10 +98,22 @@
         if (!newest || order(promise) > order(*newest)) newest = &promise;
     }
     if (!promisedAt_ && isMajority(promised)) promisedAt_ = context_.now;
-    if (!newest || !isMajority(remembering)) return;
+    if (!newest || !isMajority(remembering)) {
+        if (promises_.size() == voters().disks().size()) activateWithoutMemory();
+        return;
+    }
     activate(&newest->answer.image, newest->answer.age + context_.now - newest->at);
 }
 
+// Any image that a majority held was acknowledged by one of the voters that promised: before that one's
+// start, or before it received the image that it has.
+auto QuotaGranter::activateWithoutMemory() -> void {
+    auto age = std::numeric_limits<Microseconds>::max();
+    for (auto& [node, promise] : promises_)
+        age = std::min(age, promise.answer.age + context_.now - promise.at);
+    activate(nullptr, age);
+}
+
 auto QuotaGranter::activate(const wire::QuotaImage* predecessors, Microseconds age) -> void {
     ledger_.emplace(term_, predecessors, age, context_.counters, context_.now);
     ledger_->setTenants(context_.state.configuration()->tenants(), context_.now);
--- a/src/membership/quota_service.hpp
+++ b/src/membership/quota_service.hpp
@@ -49,6 +49,7 @@
     auto beginTerm(std::int64_t term) -> void;
     auto collect() -> void;
     auto activate(const wire::QuotaImage* predecessors, Microseconds age) -> void;
+    auto activateWithoutMemory() -> void;
     auto announce() -> void;
     auto sendImage() -> void;
     auto noteHeld() -> void;
--- a/src/quota/quota_ledger.cpp
+++ b/src/quota/quota_ledger.cpp
@@ -17,10 +17,9 @@
     Counters& counters, Microseconds now)
     : term_(term),
       counters_(counters),
-      predecessorsLapseAt_(now + QUOTA_PREDECESSOR_LAPSE),
+      predecessorsLapseAt_(now - age + QUOTA_PREDECESSOR_LAPSE),
       predecessorsUnknown_(!predecessors) {
     if (!predecessors) return;
-    predecessorsLapseAt_ -= age;
     for (auto& part : predecessors->tenants) tenantLedger(part.tenant).inherit(part, now - age, now);
 }
 
--- a/src/quota/quota_ledger.hpp
+++ b/src/quota/quota_ledger.hpp
@@ -34,7 +34,7 @@
     auto operator=(const QuotaLedger&) -> QuotaLedger& = delete;
     /// `predecessors`: what a majority of voters knew of earlier terms, the newest image; `age`: since a
     /// voter had it. Null if too few of them remember: then nothing is granted until all that may have been
-    /// granted before has lapsed.
+    /// granted before has lapsed; `age`: since any of a majority of voters can have held an image.
     QuotaLedger(std::int64_t term, const wire::QuotaImage* predecessors, Microseconds age, Counters& counters,
         Microseconds now);
 
--- a/src/quota/quota_limits.hpp
+++ b/src/quota/quota_limits.hpp
@@ -5,11 +5,11 @@
 namespace duneturn {
 
 /// How long a node may use its tokens after it sent the newest report that the granter answered.
-constexpr Microseconds QUOTA_LEASE = 5 * SECOND;
+constexpr Microseconds QUOTA_LEASE = 3 * SECOND;
 /// By how much the granter waits longer than that before it counts a silent node's tokens as gone.
-constexpr Microseconds QUOTA_LEASE_MARGIN = 500 * MILLISECOND;
+constexpr Microseconds QUOTA_LEASE_MARGIN = 300 * MILLISECOND;
 /// How old the newest image that a majority of voters holds may be for a granter to answer reports.
-constexpr Microseconds QUOTA_AUTHORITY = 1500 * MILLISECOND;
+constexpr Microseconds QUOTA_AUTHORITY = 1 * SECOND;
 /// How long after a voter received a granter's image the tokens may be used that this granter had granted.
 constexpr Microseconds QUOTA_PREDECESSOR_LAPSE = QUOTA_AUTHORITY + QUOTA_LEASE + QUOTA_LEASE_MARGIN;
 /// The steps in which spent tokens are counted by their age, in images and in the ledger itself.
--- a/src/quota/quota_replica.cpp
+++ b/src/quota/quota_replica.cpp
@@ -22,7 +22,7 @@
     answer.term = term;
     answer.known = broken.rememberNothing || now - startedAt_ >= QUOTA_PREDECESSOR_LAPSE + window;
     answer.image = image_;
-    answer.age = image_.sequence ? now - receivedAt_ : 0;
+    answer.age = now - (image_.sequence ? receivedAt_ : startedAt_);
     return true;
 }
 
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -100,7 +100,7 @@
 // A new granter asks what its predecessors granted; whoever answers follows no lower term any more.
 struct QuotaImageRequest { 1: i64 term }
 // `known`: this voter has run for longer than anything granted before its start can count. `age`: since it
-// received the image, which has the sequence 0 if there is none.
+// received the image, or since it started if it has none, which the sequence 0 shows.
 struct QuotaImageAnswer { 1: i64 term, 2: bool known, 3: QuotaImage image, 4: i64 age }
 
 struct CreditGrant { 1: string node, 2: i64 boot, 3: i64 seq, 4: i64 credit }
