--- a/src/membership/quota_service.cpp
+++ b/src/membership/quota_service.cpp
@@ -87,7 +87,7 @@
     return others.empty() ? "" : others[relays_++ % others.size()];
 }
 
-// A report for another node is passed on once, by the node that its sender gave it to.
+// A report for another node is passed on once, by the node that it was first sent to.
 auto QuotaService::handleReport(const wire::QuotaReport& report, const std::string& from) -> void {
     if (report.granter == context_.members.own().node) return granter_.handleReport(report, from);
     if (from != report.node) return;
--- a/src/routing/quota_admission.hpp
+++ b/src/routing/quota_admission.hpp
@@ -1,6 +1,6 @@
 #pragma once
 // A request's token of its tenant's quota: taken when it is admitted, spent with its first byte to a server,
-// given back if nothing was sent.
+// returned if nothing was sent.
 #include <cstdint>
 #include <deque>
 #include <functional>
