--- a/tests/platform/platform_tenants_test.cpp
+++ b/tests/platform/platform_tenants_test.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "base/json.hpp"
+#include "base/random.hpp"
 #include "base/time.hpp"
 #include "configuration.hpp"
 #include "patch.hpp"
@@ -145,6 +146,25 @@
     }
 }
 
+// A document that is accepted here is never refused by the product's own rules.
+TEST(PlatformTenants, fuzzWhatIsTranslatedIsSoundInTheProduct) {
+    constexpr auto ROUNDS = 4000;
+    constexpr auto ALTERATIONS = std::string_view("\"{}[],:0123456789.-ken \\\n\x7f");
+    auto random = RandomSource{23};
+    auto accepted = 0;
+    for (auto round = 0; round < ROUNDS; round++) {
+        auto tenants = std::string(TENANTS);
+        for (auto i = 1 + random.below(3); i > 0; i--)
+            tenants[random.below(tenants.size())] = ALTERATIONS[random.below(ALTERATIONS.size())];
+        auto translated = translateConfiguration(documentWithTenants(tenants), 0, Bounds());
+        if (!translated) continue;
+        accepted++;
+        for (auto& fault : validateConfiguration(patchOf(translated->text)))
+            CPPUNIT_FAIL(tenants + " " + fault.path + ": " + fault.why);
+    }
+    CHECK(accepted > ROUNDS / 20);
+}
+
 TEST(PlatformTenants, patchOfOneTenantsKeysWithdrawsTheOthers) {
     auto whole = documentWithTenants(TENANTS);
     auto patch = patchOf(
