Test: views and counters of a node hold no key of a tenant

TenantDistribution.viewsAndCountersHoldNoKey looks through status, beliefs and counters of a leader for each key that is or was in force; it passes on the code as it stands, which names keys nowhere.

--- a/tests/membership/tenant_distribution_test.cpp
+++ b/tests/membership/tenant_distribution_test.cpp
@@ -124,6 +124,19 @@
     CHECK(fleet.inForceAt(node));
 }
 
+TEST(TenantDistribution, viewsAndCountersHoldNoKey) {
+    auto quiet = Quiet();
+    auto fleet = TenantFleet(68, 12, 20);
+    fleet.withdraw();
+    fleet.run(SECOND);
+    auto& node = *fleet.leader()->n;
+    auto views = node.status(fleet.t) + node.beliefs(fleet.t) + fleet.leader()->ct.text();
+    CHECK(views.find("configGeneration") != std::string::npos);
+    for (auto tenant = 0; tenant < fleet.tenants; tenant++)
+        for (auto revision = 1; revision <= fleet.revision + 1; revision++)
+            CHECK(views.find(testKey(tenant, revision)) == std::string::npos);
+}
+
 TEST(TenantDistribution, lostMessagesDelayNoWithdrawalForLong) {
     auto quiet = Quiet();
     for (auto seed = 70u; seed < 76; seed++) {
