--- a/src/quota/grant_reserve.hpp
+++ b/src/quota/grant_reserve.hpp
@@ -10,9 +10,7 @@
 class GrantReserve {
   public:
     /// Tokens that may be granted now.
-    [[nodiscard]] auto remaining() const -> std::int64_t {
-        return covered_ > granted_ ? covered_ - granted_ : 0;
-    }
+    [[nodiscard]] auto remaining() const -> std::int64_t { return covered_ > granted_ ? covered_ - granted_ : 0; }
     auto grant(std::int64_t tokens) -> void { granted_ += tokens; }
     /// An image with this sequence covers so many tokens more.
     auto announce(std::int64_t sequence, std::int64_t reserve) -> void;
--- a/src/quota/quota_account.cpp
+++ b/src/quota/quota_account.cpp
@@ -43,8 +43,8 @@
 
 // ---- requests
 
-auto QuotaAccount::takeToken(TenantAccount& account, const std::string& tenant, QuotaReservation& reservation)
-    -> bool {
+auto QuotaAccount::takeToken(
+    TenantAccount& account, const std::string& tenant, QuotaReservation& reservation) -> bool {
     if (!account.reserve()) return false;
     reservation.tenant = tenant;
     reservation.lease = account.lease;
@@ -64,8 +64,8 @@
     return QuotaAnswer::Wait;
 }
 
-auto QuotaAccount::reserveWaiting(const std::string& tenant, QuotaReservation& reservation, Microseconds now)
-    -> QuotaAnswer {
+auto QuotaAccount::reserveWaiting(
+    const std::string& tenant, QuotaReservation& reservation, Microseconds now) -> QuotaAnswer {
     reservation = {};
     lapseIfDue(now);
     auto account = findLimited(tenant);
--- a/src/quota/quota_ledger.cpp
+++ b/src/quota/quota_ledger.cpp
@@ -92,8 +92,8 @@
     return holding;
 }
 
-auto QuotaLedger::takeUse(Holding& holding, const wire::QuotaUse& use, TenantLedger& tenant, Microseconds now)
-    -> void {
+auto QuotaLedger::takeUse(
+    Holding& holding, const wire::QuotaUse& use, TenantLedger& tenant, Microseconds now) -> void {
     raiseGranted(holding, use, tenant);
     auto spent = std::max<std::int64_t>(use.spent - holding.spent, 0);
     auto returned = std::max<std::int64_t>(use.returned - holding.returned, 0);
--- a/src/quota/quota_replica.cpp
+++ b/src/quota/quota_replica.cpp
@@ -15,8 +15,8 @@
     return true;
 }
 
-auto QuotaReplica::promise(
-    std::int64_t term, Microseconds window, wire::QuotaImageAnswer& answer, Microseconds now) -> bool {
+auto QuotaReplica::promise(std::int64_t term, Microseconds window, wire::QuotaImageAnswer& answer,
+    Microseconds now) -> bool {
     if (term < promised_) return false;
     promised_ = term;
     answer.term = term;
--- a/src/quota/tenant_account.hpp
+++ b/src/quota/tenant_account.hpp
@@ -1,6 +1,5 @@
 #pragma once
-// One tenant's part of a node's account: its tokens, in counts that rise within the granter's term. Logic
-// only.
+// One tenant's part of a node's account: its tokens, in counts that rise within the granter's term. Logic only.
 #include <cstdint>
 
 #include "base/time.hpp"
--- a/src/quota/tenant_ledger.cpp
+++ b/src/quota/tenant_ledger.cpp
@@ -18,8 +18,7 @@
 }
 
 // A granter's first bucket is as full as its predecessors' spends would have left it.
-auto TenantLedger::configureBucket(const Tenant& tenant, const QuotaBounds& bounds, Microseconds now)
-    -> void {
+auto TenantLedger::configureBucket(const Tenant& tenant, const QuotaBounds& bounds, Microseconds now) -> void {
     auto rate = QUOTA_REFILL * tenant.ratePerSecond;
     auto capacity = tenant.burst + QUOTA_SLACK_IN_BUCKET * bounds.slack;
     auto isFirst = !std::exchange(hasBucket_, true);
@@ -136,8 +135,6 @@
     return part;
 }
 
-auto TenantLedger::wantsImage() const -> bool {
-    return limited_ && reserve_.remaining() * 2 < announcedReserve_;
-}
+auto TenantLedger::wantsImage() const -> bool { return limited_ && reserve_.remaining() * 2 < announcedReserve_; }
 
 }  // namespace duneturn
--- a/src/quota/tenant_ledger.hpp
+++ b/src/quota/tenant_ledger.hpp
@@ -24,8 +24,7 @@
 
     /// The tenant's limit, or none.
     auto setLimit(const Tenant* tenant, const QuotaBounds& bounds, Microseconds now) -> void;
-    /// What an image of an earlier term says of this tenant; `imageAt`: when a voter received it at the
-    /// latest.
+    /// What an image of an earlier term says of this tenant; `imageAt`: when a voter received it at the latest.
     auto inherit(const wire::QuotaTenantImage& image, Microseconds imageAt, Microseconds now) -> void;
     /// Tokens of earlier terms may be outstanding, nobody knows how many.
     auto inheritUnknown() -> void { predecessors_ = UNKNOWN_PREDECESSORS; }
--- a/tests/quota/quota_bound_test.cpp
+++ b/tests/quota/quota_bound_test.cpp
@@ -14,8 +14,7 @@
     for (auto seed = 1; seed <= SEEDS; seed++) {
         auto settings = troubledSettings(std::uint64_t(seed));
         auto outcome = playTroubledDay(settings);
-        CPPUNIT_ASSERT_MESSAGE(
-            fmt::format("{}", fmt::join(outcome.violations, "; ")), outcome.violations.empty());
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{}", fmt::join(outcome.violations, "; ")), outcome.violations.empty());
         CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}: {} ran", seed, outcome.ran), outcome.ran > 100);
     }
 }
--- a/tests/quota/quota_network.cpp
+++ b/tests/quota/quota_network.cpp
@@ -10,8 +10,7 @@
 
 auto serializedSize(const QuotaMessage& message) -> std::size_t {
     auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
-    auto protocol =
-        apache::thrift::protocol::TCompactProtocolT<apache::thrift::transport::TMemoryBuffer>(buffer);
+    auto protocol = apache::thrift::protocol::TCompactProtocolT<apache::thrift::transport::TMemoryBuffer>(buffer);
     std::visit([&](auto& content) { content.write(&protocol); }, message);
     return buffer->available_read();
 }
--- a/tests/quota/quota_network.hpp
+++ b/tests/quota/quota_network.hpp
@@ -14,8 +14,8 @@
 
 namespace duneturn {
 
-using QuotaMessage = std::variant<wire::QuotaReport, wire::QuotaGrant, wire::QuotaImage,
-    wire::QuotaImageReply, wire::QuotaImageRequest, wire::QuotaImageAnswer>;
+using QuotaMessage = std::variant<wire::QuotaReport, wire::QuotaGrant, wire::QuotaImage, wire::QuotaImageReply,
+    wire::QuotaImageRequest, wire::QuotaImageAnswer>;
 
 struct QuotaDelivery {
     int from = 0, to = 0;
--- a/tests/quota/quota_world.cpp
+++ b/tests/quota/quota_world.cpp
@@ -11,16 +11,16 @@
 namespace duneturn {
 namespace {
 
-constexpr Microseconds MOST_WAIT = 400 * MILLISECOND;  // of a request for a token
-constexpr Microseconds CONFIGURE_TIME = 1 * SECOND;    // until every node that runs has a configuration
-constexpr Microseconds GRANTER_LOST = 1 * SECOND;      // without an answer, another granter is asked
+constexpr Microseconds MOST_WAIT = 400 * MILLISECOND;    // of a request for a token
+constexpr Microseconds CONFIGURE_TIME = 1 * SECOND;      // until every node that runs has a configuration
+constexpr Microseconds GRANTER_LOST = 1 * SECOND;        // without an answer, another granter is asked
 constexpr double CLOCK_DRIFT = 0.01;
 
 auto tableOf(const std::vector<WorldTenant>& tenants) -> std::shared_ptr<const TenantTable> {
     auto members = std::string();
     for (auto& tenant : tenants)
-        members += fmt::format(R"({}"{}":{{"ratePerS":{},"burst":{}}})", members.empty() ? "" : ",",
-            tenant.name, tenant.ratePerSecond, tenant.burst);
+        members += fmt::format(R"({}"{}":{{"ratePerS":{},"burst":{}}})", members.empty() ? "" : ",", tenant.name,
+            tenant.ratePerSecond, tenant.burst);
     auto document = rapidjson::Document();
     document.Parse((R"({"tenants":{)" + members + "}}").c_str());
     return std::make_shared<const TenantTable>(document);
--- a/tests/quota/quota_world.hpp
+++ b/tests/quota/quota_world.hpp
@@ -45,7 +45,7 @@
 struct WorldResults {
     std::vector<Microseconds> spends;  ///< When they went to servers, in order.
     std::int64_t requests = 0, refused = 0;
-    Microseconds waited = 0;                                           ///< In all.
+    Microseconds waited = 0;  ///< In all.
     std::vector<std::pair<Microseconds, double>> bounds, grantBounds;  ///< Since when which bound is set.
 };
 
