--- a/tests/platform/tenant_days_test.cpp
+++ b/tests/platform/tenant_days_test.cpp
@@ -23,6 +23,23 @@
     return day.violations.empty() ? std::string() : day.violations.front();
 }
 
+struct Variant {
+    std::string name, rule;
+};
+
+auto isSeen(const Variant& variant) -> bool {
+    constexpr auto SEEDS = 3;
+    for (auto seed = std::uint64_t(1); seed <= SEEDS; seed++) {
+        auto options = dayWithTenants(seed);
+        options.duration = 30 * SECOND;
+        options.faults = {"hot-tenant"};
+        options.broken = variant.name;
+        for (auto& violation : runPlatformDay(options).violations)
+            if (violation.starts_with(variant.rule)) return true;
+    }
+    return false;
+}
+
 }  // namespace
 
 TEST(TenantDays, quietDay) {
@@ -55,4 +72,31 @@
     }
 }
 
+TEST(TenantDays, theSameSeedGivesTheSameDay) {
+    auto options = dayWithTenants(3);
+    options.duration = 20 * SECOND;
+    CHECK_EQ(runPlatformDay(options).digest, runPlatformDay(options).digest);
+}
+
+TEST(TenantDays, faultsOfTenantsWantTenants) {
+    auto options = PlatformDayOptions();
+    options.faults = {"hot-tenant"};
+    CHECK_EQ(2, simulatePlatform(options, 1));
+}
+
+// Each oracle sees the deliberate fault that is its own.
+TEST(BrokenTenants, isSeen) {
+    auto variants = std::vector<Variant>{
+        {"any-key", "a key that no configuration held opens nothing"},
+        {"keep-keys", "a withdrawn key opens nothing after a time"},
+        {"refuse-keys", "a key in force is not refused"},
+        {"ignore-homes", "a tenant's requests stay in its home regions"},
+        {"ignore-quotas", "a tenant's requests keep within its quota"},
+        {"pass-key", "no server is shown a key"},
+        {"pass-tenant", "a server is given the tenant of the key"},
+    };
+    for (auto& variant : variants)
+        CPPUNIT_ASSERT_MESSAGE(variant.name + " was not seen by: " + variant.rule, isSeen(variant));
+}
+
 }  // namespace duneturn::sim
