--- a/src/quota/tenant_ledger.cpp
+++ b/src/quota/tenant_ledger.cpp
@@ -122,8 +122,8 @@
 // ---- images
 
 auto TenantLedger::reserveNeeded(Microseconds now) -> std::int64_t {
-    granted_.expire(QUOTA_IMAGE_HEARTBEAT, now);
-    return std::max({std::int64_t(QUOTA_LEAST_RESERVE), granted_.total(), blocked_});
+    granted_.expire(QUOTA_RESERVE_TIME, now);
+    return std::max({std::int64_t(QUOTA_LEAST_RESERVE), 2 * granted_.total(), blocked_});
 }
 
 auto TenantLedger::image(std::int64_t sequence, Microseconds now) -> wire::QuotaTenantImage {
@@ -137,7 +137,7 @@
 }
 
 auto TenantLedger::wantsImage() const -> bool {
-    return limited_ && reserve_.remaining() * 2 < announcedReserve_;
+    return limited_ && reserve_.remaining() * 4 < announcedReserve_;
 }
 
 }  // namespace duneturn
