--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -28,7 +29,9 @@
 struct PlacesOfRoute {
     std::string route;
     std::vector<std::string> homes;
-    auto operator<=>(const PlacesOfRoute&) const = default;
+    auto operator<(const PlacesOfRoute& other) const -> bool {
+        return std::tie(route, homes) < std::tie(other.route, other.homes);
+    }
 };
 
 }  // namespace
