--- a/tests/quota/quota_network.cpp
+++ b/tests/quota/quota_network.cpp
@@ -32,7 +32,8 @@
         auto size = std::int64_t(serializedSize(message));
         bytesSent[from] += size;
         bytesReceived[to] += size;
-        messages++;
+        bytesByKind[message.index()] += size;
+        messagesByKind[message.index()]++;
     }
     enqueue(from, to, message, now);
     if (random_.chance(doubled)) enqueue(from, to, message, now);
