Without limited tenants the granter says nothing; the quotas' messages are pinned

Ten of 15 pinned digests had moved, though no tenant was there: a leader asked for images and sent its own. It does so only once a configuration has limited a tenant: the pinned digests are as before (15 of 15 the same).

--- a/src/membership/quota_granter.cpp
+++ b/src/membership/quota_granter.cpp
@@ -26,6 +26,9 @@
 }
 
 auto QuotaGranter::setTenants(const TenantTable& tenants) -> void {
+    auto& all = tenants.all();
+    hasLimits_ = hasLimits_
+        || std::any_of(all.begin(), all.end(), [](auto& entry) { return entry.second.isLimited(); });
     if (ledger_) ledger_->setTenants(tenants, context_.now);
 }
 
@@ -34,6 +37,11 @@
     auto term = leaderTerm();
     if (term != term_) beginTerm(term);
     if (!term_) return;
+    if (!ledger_ && !context_.state.configVersion()) {
+        auto nothing = wire::QuotaImage();  // there was never a limit
+        return activate(&nothing, 0);
+    }
+    if (!hasLimits_) return;
     if (!ledger_) return collect();
     ledger_->tick(context_.now);
     if (ledger_->imageDue(context_.now)) sendImage();
@@ -54,10 +62,6 @@
 // Asks for what predecessors granted, until a majority has promised to follow none of them any more.
 auto QuotaGranter::collect() -> void {
     auto now = context_.now;
-    if (!context_.state.configVersion()) {
-        auto nothing = wire::QuotaImage();  // there was never a limit
-        return activate(&nothing, 0);
-    }
     if (promisedAt_ && now - promisedAt_ >= REMEMBER_TIMEOUT) return activateWithoutMemory();
     if (askedAt_ && now - askedAt_ < ASK_INTERVAL) return;
     askedAt_ = now;
@@ -117,10 +121,11 @@
 auto QuotaGranter::activate(const wire::QuotaImage* predecessors, Microseconds age) -> void {
     ledger_.emplace(term_, predecessors, age, context_.counters, context_.now);
     ledger_->setTenants(context_.state.configuration()->tenants(), context_.now);
+    if (!hasLimits_) return;
     logEvent("quota_granter_began", "term={} remembered={}", term_, predecessors != nullptr);
     context_.counters.add("quota_terms_total");
     sendImage();
-    if (context_.state.configVersion()) announce();
+    announce();
 }
 
 // All nodes learn who grants now, and bring along what they hold.
--- a/src/membership/quota_service.hpp
+++ b/src/membership/quota_service.hpp
@@ -70,7 +70,8 @@
     Send send_;
     std::optional<QuotaReplica> replica_;
     std::optional<QuotaLedger> ledger_;
-    std::int64_t term_ = 0;                      // that is being collected for, or granted in; 0: none
+    bool hasLimits_ = false;  // a configuration has limited a tenant while this process ran
+    std::int64_t term_ = 0;   // that is being collected for, or granted in; 0: none
     Microseconds askedAt_ = 0, promisedAt_ = 0;  // the last question; when a majority had promised
     struct Promise {
         wire::QuotaImageAnswer answer;
