The quotas' majorities are counted by voters' disks, and a new voter vouches for nothing

A voter's place keeps the name of the node that had it first, and passes to another node's disk. Promises and held images were counted by that name: after one voter's machine was replaced and another was lost, no majority came about, and every request of a limited tenant was refused with 503. A disk that has not voted for long enough no longer says that it remembers, and acknowledges nothing while it does not vote. A new configuration binds the account at once, not with the next tick. Found by review.

--- a/src/membership/node_messages.cpp
+++ b/src/membership/node_messages.cpp
@@ -63,6 +63,7 @@
 }
 
 auto Node::announceState() -> void {
+    quota_.stateChanged();
     if (onStateChange) onStateChange();
     sendStateDown();
     if (protocol_->announcesStateAtOnce())
--- a/src/membership/quota_granter.cpp
+++ b/src/membership/quota_granter.cpp
@@ -33,7 +33,8 @@
 }
 
 auto QuotaGranter::tick() -> void {
-    if (context_.voter) replica();
+    if (votes()) replica();
+    else replica_.reset();
     auto term = leaderTerm();
     if (term != term_) beginTerm(term);
     if (!term_) return;
@@ -77,7 +78,7 @@
 // A promise is only in memory; the voter's term, which a request may not run ahead of, is on its disk.
 auto QuotaGranter::handleImageRequest(const wire::QuotaImageRequest& request, const std::string& from)
     -> void {
-    if (!context_.voter || request.term > voterTerm()) return;
+    if (!votes() || request.term > voterTerm()) return;
     auto answer = wire::QuotaImageAnswer();
     if (!replica().promise(request.term, window(), answer, context_.now)) return;
     auto envelope = context_.envelope();
@@ -88,22 +89,22 @@
 // A majority of those that remember has one in common with any majority that held a predecessor's image.
 auto QuotaGranter::handleImageAnswer(const wire::QuotaImageAnswer& answer, const std::string& from) -> void {
     if (!term_ || ledger_ || answer.term != term_) return;
-    promises_[from] = {answer, context_.now};
+    promises_[diskOf(from)] = {answer, context_.now};
     auto promised = std::set<std::string>();
     auto remembering = std::set<std::string>();
     auto newest = static_cast<const Promise*>(nullptr);
     auto order = [](const Promise& promise) {
         return std::pair(promise.answer.image.term, promise.answer.image.sequence);
     };
-    for (auto& [node, promise] : promises_) {
-        promised.insert(node);
+    for (auto& [disk, promise] : promises_) {
+        promised.insert(disk);
         if (!promise.answer.known) continue;
-        remembering.insert(node);
+        remembering.insert(disk);
         if (!newest || order(promise) > order(*newest)) newest = &promise;
     }
     if (!promisedAt_ && isMajority(promised)) promisedAt_ = context_.now;
     if (!newest || !isMajority(remembering)) {
-        if (promises_.size() == voters().disks().size()) activateWithoutMemory();
+        if (haveAllPromised()) activateWithoutMemory();
         return;
     }
     activate(&newest->answer.image, newest->answer.age + context_.now - newest->at);
@@ -113,7 +114,7 @@
 // start, or before it received the image that it has.
 auto QuotaGranter::activateWithoutMemory() -> void {
     auto age = std::numeric_limits<Microseconds>::max();
-    for (auto& [node, promise] : promises_)
+    for (auto& [disk, promise] : promises_)
         age = std::min(age, promise.answer.age + context_.now - promise.at);
     activate(nullptr, age);
 }
@@ -147,7 +148,7 @@
     auto image = ledger_->image(context_.now);
     sentImages_.push_back({image.sequence, context_.now});
     if (!replica().take(image, context_.now)) return;
-    heldSequences_[context_.members.own().node] = image.sequence;
+    heldSequences_[context_.voter->disk()] = image.sequence;
     auto envelope = context_.envelope();
     envelope.__set_quotaImage(image);
     sendToVoters(envelope);
@@ -155,7 +156,7 @@
 }
 
 auto QuotaGranter::handleImage(const wire::QuotaImage& image, const std::string& from) -> void {
-    if (!context_.voter || image.term < voterTerm() || !replica().take(image, context_.now)) return;
+    if (!votes() || image.term < voterTerm() || !replica().take(image, context_.now)) return;
     auto reply = wire::QuotaImageReply();
     reply.term = image.term;
     reply.sequence = image.sequence;
@@ -166,7 +167,7 @@
 
 auto QuotaGranter::handleImageReply(const wire::QuotaImageReply& reply, const std::string& from) -> void {
     if (!ledger_ || reply.term != term_) return;
-    auto& held = heldSequences_[from];
+    auto& held = heldSequences_[diskOf(from)];
     held = std::max(held, reply.sequence);
     noteHeld();
 }
@@ -176,8 +177,8 @@
     while (!sentImages_.empty()) {
         auto oldest = sentImages_.front();
         auto holders = std::set<std::string>();
-        for (auto& [node, sequence] : heldSequences_)
-            if (sequence >= oldest.sequence) holders.insert(node);
+        for (auto& [disk, sequence] : heldSequences_)
+            if (sequence >= oldest.sequence) holders.insert(disk);
         if (!isMajority(holders)) return;
         ledger_->imageHeld(oldest.sequence, oldest.sentAt);
         sentImages_.erase(sentImages_.begin());
@@ -204,29 +205,39 @@
     return VoterConfiguration::joint(voter.outgoingVoters(), voter.voters());
 }
 
-auto QuotaGranter::isMajority(const std::set<std::string>& nodes) const -> bool {
-    auto configuration = voters();
-    auto nodeOf = std::map<std::string, std::string>();
-    for (auto& voter : configuration.voters()) nodeOf[voter.disk] = voter.node;
-    for (auto& voter : configuration.outgoing()) nodeOf[voter.disk] = voter.node;
-    return configuration.hasMajority([&](auto& disk) { return nodes.count(nodeOf[disk]) > 0; }, {});
+auto QuotaGranter::votes() const -> bool {
+    auto& voter = context_.voter;
+    return voter && !voter->blank() && voters().isVoter(voter->disk());
+}
+
+// A voter's name is that of its place, which may pass to another node's disk.
+auto QuotaGranter::diskOf(const std::string& node) const -> std::string {
+    if (node == context_.members.own().node) return context_.voter->disk();
+    auto record = context_.members.find(node);
+    return record ? record->disk : "";
+}
+
+auto QuotaGranter::isMajority(const std::set<std::string>& disks) const -> bool {
+    return voters().hasMajority([&](auto& disk) { return disks.count(disk) > 0; }, {});
+}
+
+auto QuotaGranter::haveAllPromised() const -> bool {
+    auto disks = voters().disks();
+    return std::all_of(disks.begin(), disks.end(), [&](auto& disk) { return promises_.count(disk) > 0; });
 }
 
 auto QuotaGranter::sendToVoters(const wire::Envelope& envelope) -> void {
-    auto nodes = std::set<std::string>();
-    auto configuration = voters();
-    for (auto& voter : configuration.voters()) nodes.insert(voter.node);
-    for (auto& voter : configuration.outgoing()) nodes.insert(voter.node);
-    nodes.erase(context_.members.own().node);
-    for (auto& node : nodes) send_(node, envelope);
+    for (auto& disk : voters().disks())
+        if (auto known = context_.members.withDisk(disk)) send_(known->record.node, envelope);
 }
 
 auto QuotaGranter::window() const -> Microseconds {
     return context_.state.configuration()->tenants().bounds().window;
 }
 
+// A disk that has not voted before was sent no images, and remembers nothing of that time.
 auto QuotaGranter::replica() -> QuotaReplica& {
-    if (!replica_) replica_.emplace(context_.startedAt ? context_.startedAt : context_.now);
+    if (!replica_) replica_.emplace(context_.now);
     return *replica_;
 }
 
--- a/src/membership/quota_service.hpp
+++ b/src/membership/quota_service.hpp
@@ -60,8 +60,13 @@
     /// The term that this node's disk has, as granters are ordered.
     [[nodiscard]] auto voterTerm() const -> std::int64_t;
     [[nodiscard]] auto voters() const -> VoterConfiguration;
-    /// Whether these nodes are a majority of the voters.
-    [[nodiscard]] auto isMajority(const std::set<std::string>& nodes) const -> bool;
+    /// Whether this node's disk votes, as far as it knows.
+    [[nodiscard]] auto votes() const -> bool;
+    /// The disk that a node has; empty if it is not known.
+    [[nodiscard]] auto diskOf(const std::string& node) const -> std::string;
+    /// Whether these disks are a majority of the voters.
+    [[nodiscard]] auto isMajority(const std::set<std::string>& disks) const -> bool;
+    [[nodiscard]] auto haveAllPromised() const -> bool;
     auto sendToVoters(const wire::Envelope& envelope) -> void;
     [[nodiscard]] auto window() const -> Microseconds;
     auto replica() -> QuotaReplica&;
@@ -77,9 +82,10 @@
         wire::QuotaImageAnswer answer;
         Microseconds at = 0;
     };
-    std::map<std::string, Promise> promises_;            // by the voter's node
-    std::map<std::string, std::int64_t> heldSequences_;  // of the newest image that a voter's node holds
-    std::vector<SentImage> sentImages_;                  // that no majority holds yet, oldest first
+    std::map<std::string, Promise> promises_;  // by the voter's disk
+    std::map<std::string, std::int64_t>
+        heldSequences_;                  // of the newest image that a voter holds, by its disk
+    std::vector<SentImage> sentImages_;  // that no majority holds yet, oldest first
 };
 
 /// The quotas at one node.
