--- a/tests/quota/quota_parts_test.cpp
+++ b/tests/quota/quota_parts_test.cpp
@@ -212,8 +212,9 @@
         report.uses.back().waiting = 1;
         return ledger.take("m", report, now).allowances.front();
     };
-    CHECK(allowanceAt(BEGIN + 11 * SECOND, 1).refused);
-    CHECK_EQ(std::int64_t(1), allowanceAt(BEGIN + 13 * SECOND, 2).granted);
+    auto free = pair.now + QUOTA_PREDECESSOR_LAPSE + table().bounds().window;
+    CHECK(allowanceAt(free - 100 * MILLISECOND, 1).refused);
+    CHECK_EQ(std::int64_t(1), allowanceAt(free + 100 * MILLISECOND, 2).granted);
 }
 
 }  // namespace duneturn
