--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no kill.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/duneturn ] && [ -x target/review/case-3 ] || exit 2
+timeout -k 5 110 target/review/case-3 "$PWD" "$PWD/review/3"
+verdict=$?
+case $verdict in 0 | 1) exit $verdict ;; *) exit 2 ;; esac
