--- a/src/daemon/planned_stop.cpp
+++ b/src/daemon/planned_stop.cpp
@@ -8,13 +8,6 @@
 
 namespace duneturn {
 
-namespace {
-
-/// The last part of a grace is left for the process's own end.
-constexpr Microseconds endOfGrace(Microseconds grace) { return grace * 95 / 100; }
-
-}  // namespace
-
 auto PlannedStop::begin() -> void {
     auto lock = std::lock_guard(logic_.mutex);
     if (logic_.stop.at) return;
@@ -49,7 +42,7 @@
     if (step == StopStep::Serve) return false;
     refuseRequests();
     if (step == StopStep::Cut) cutRequests(now);
-    return step == StopStep::End || now - logic_.stop.at >= endOfGrace(limit_);
+    return step == StopStep::End;
 }
 
 auto PlannedStop::refuseRequests() -> void {
