--- /dev/null
+++ b/tests/soak/loss_rule.cpp
@@ -0,0 +1,85 @@
+#include "soak/loss_rule.hpp"
+
+#include <optional>
+#include <string>
+
+#include <fmt/format.h>
+
+#include "base/time.hpp"
+
+namespace duneturn::soak {
+
+namespace {
+
+/// A request that no server has may end with its connection this soon after its last byte.
+constexpr Microseconds LOSS_SLACK = 200 * MILLISECOND;
+/// How long after the signal a request may be sent that is cut at work.
+constexpr Microseconds LATEST_CUTTABLE = 3 * SECOND;
+/// In which part of the grace it may be cut.
+constexpr auto LAST_SIXTH = 6;
+/// After the grace, until which a stop explains the end of a connection.
+constexpr Microseconds AFTER_GRACE = 1 * SECOND;
+/// Statuses that promise that a request has not run and never will.
+constexpr auto PROMISES_NOT_RUN = {408, 421, 429, 503};
+constexpr auto SUCCESS = 200;
+
+auto inLastSixth(Microseconds at, const PlannedStopRecord& stop) -> bool {
+    auto elapsed = at - stop.signalledAt;
+    return LAST_SIXTH * elapsed >= (LAST_SIXTH - 1) * stop.grace && elapsed <= stop.grace + AFTER_GRACE;
+}
+
+// A cut that is allowed: its server was still at work in the last sixth of the grace, on a request that was sent
+// early enough.
+auto isAllowedCut(const RequestRecord& request, const PlannedStopRecord& stop) -> bool {
+    auto serverAtWork = request.runs > 0 && !request.serverDoneAt;
+    auto sentEarly = request.begunAt <= stop.signalledAt + LATEST_CUTTABLE;
+    return serverAtWork && sentEarly && inLastSixth(request.endedAt, stop);
+}
+
+auto judgeAnswer(const RequestRecord& request) -> std::optional<std::string> {
+    for (auto status : PROMISES_NOT_RUN)
+        if (request.status == status && request.runs > 0)
+            return fmt::format("status {} promises that it has not run, and a server ran it", status);
+    if (request.status == SUCCESS && !request.wholeBody)
+        return std::string("its answer looks complete and is not the server's");
+    return std::nullopt;
+}
+
+auto judgeCut(const RequestRecord& request, const std::optional<PlannedStopRecord>& stop)
+    -> std::optional<std::string> {
+    if (request.endedAt - request.begunAt >= request.timeLimit) return std::nullopt;
+    auto neverPassedOn = request.runs == 0 && request.endedAt - request.sentAt <= LOSS_SLACK;
+    if (neverPassedOn) return std::nullopt;
+    if (!stop) return std::string("its connection ended without an answer, and its node was not stopping");
+    if (isAllowedCut(request, *stop)) return std::nullopt;
+    return fmt::format("sent {} us after the signal, cut {} us after it ({} us of grace), {}",
+        request.begunAt - stop->signalledAt, request.endedAt - stop->signalledAt, stop->grace,
+        request.runs > 0 ? "passed on to a server" : "passed on to no server");
+}
+
+// A request that was still being sent is no loss by the rule; that its node did not wait for it is a fault as
+// well, as long as it would have waited for one that runs.
+auto judgeUnsent(const RequestRecord& request, const std::optional<PlannedStopRecord>& stop)
+    -> std::optional<std::string> {
+    // Its first bytes crossed the close of an idle connection.
+    if (request.endedAt - request.begunAt <= LOSS_SLACK) return std::nullopt;
+    if (!stop) return std::string("its connection ended while it was being sent, and its node was not stopping");
+    if (inLastSixth(request.endedAt, *stop)) return std::nullopt;
+    return fmt::format("its connection ended while it was being sent, {} us after the signal ({} us of grace)",
+        request.endedAt - stop->signalledAt, stop->grace);
+}
+
+}  // namespace
+
+auto judgeRequest(const RequestRecord& request, const std::optional<PlannedStopRecord>& stop)
+    -> std::optional<std::string> {
+    switch (request.end) {
+    case RequestEnd::Answered: return judgeAnswer(request);
+    case RequestEnd::Cut: return judgeCut(request, stop);
+    case RequestEnd::Unsent: return judgeUnsent(request, stop);
+    case RequestEnd::NotReached: return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+}  // namespace duneturn::soak
--- /dev/null
+++ b/tests/soak/loss_rule_test.cpp
@@ -0,0 +1,101 @@
+// The soak's rule finds each kind of loss, and allows what may be cut.
+#include <optional>
+
+#include "base/time.hpp"
+#include "soak/loss_rule.hpp"
+#include "test.hpp"
+
+namespace duneturn::soak {
+
+namespace {
+
+constexpr Microseconds SIGNALLED_AT = 100 * SECOND;
+constexpr Microseconds TIME_LIMIT = 20 * SECOND;
+
+/// A request that was sent at once, and whose server was at work when its connection ended.
+auto cutRequest(Microseconds sentAfterSignal, Microseconds cutAfterSignal) -> RequestRecord {
+    auto request = RequestRecord();
+    request.begunAt = request.sentAt = SIGNALLED_AT + sentAfterSignal;
+    request.endedAt = SIGNALLED_AT + cutAfterSignal;
+    request.timeLimit = TIME_LIMIT;
+    request.end = RequestEnd::Cut;
+    request.runs = 1;
+    return request;
+}
+
+auto isFault(const RequestRecord& request, Microseconds grace) -> bool {
+    return judgeRequest(request, PlannedStopRecord{SIGNALLED_AT, grace}).has_value();
+}
+
+}  // namespace
+
+TEST(LossRule, allowsTheCutOfEarlyRequestsInTheLastSixth) {
+    for (auto grace : {SECOND, 6 * SECOND, 8 * SECOND, 60 * SECOND}) {
+        auto lastSixth = (5 * grace + 5) / 6;
+        CHECK(!isFault(cutRequest(-SECOND, lastSixth), grace));
+        CHECK(isFault(cutRequest(-SECOND, lastSixth - 1), grace));
+        CHECK(!isFault(cutRequest(0, grace + SECOND), grace));
+        CHECK(isFault(cutRequest(0, grace + SECOND + 1), grace));
+    }
+    CHECK(!isFault(cutRequest(3 * SECOND, 7 * SECOND), 8 * SECOND));
+}
+
+TEST(LossRule, findsTheCutOfALateRequest) {
+    CHECK(isFault(cutRequest(3 * SECOND + 1, 7 * SECOND), 8 * SECOND));
+    // Its time was over: that is no cut.
+    auto request = cutRequest(3 * SECOND + 1, 7 * SECOND);
+    request.timeLimit = 3 * SECOND;
+    CHECK(!isFault(request, 8 * SECOND));
+}
+
+TEST(LossRule, findsACutWithoutAStop) {
+    CHECK(judgeRequest(cutRequest(0, SECOND), std::nullopt).has_value());
+}
+
+TEST(LossRule, findsAnAnswerThatItsServerHadSentWhole) {
+    auto request = cutRequest(0, 7 * SECOND);
+    request.serverDoneAt = SIGNALLED_AT + 6 * SECOND;
+    CHECK(isFault(request, 8 * SECOND));
+}
+
+TEST(LossRule, findsARequestThatNoServerGot) {
+    auto request = cutRequest(0, 200 * MILLISECOND);
+    request.runs = 0;
+    CHECK(!isFault(request, 8 * SECOND));
+    request.endedAt += 1;
+    CHECK(isFault(request, 8 * SECOND));
+    // That it was queued to the end of the grace is no excuse.
+    request.endedAt = SIGNALLED_AT + 7 * SECOND;
+    CHECK(isFault(request, 8 * SECOND));
+}
+
+TEST(LossRule, findsAnInterruptedUpload) {
+    auto request = cutRequest(0, 1500 * MILLISECOND);
+    request.end = RequestEnd::Unsent;
+    request.sentAt = 0;
+    request.runs = 0;
+    CHECK(isFault(request, 8 * SECOND));
+    CHECK(judgeRequest(request, std::nullopt).has_value());
+    request.endedAt = SIGNALLED_AT + 7 * SECOND;
+    CHECK(!isFault(request, 8 * SECOND));
+    // Its first bytes crossed the close.
+    request.endedAt = request.begunAt + 100 * MILLISECOND;
+    CHECK(!isFault(request, 8 * SECOND));
+}
+
+TEST(LossRule, findsABrokenPromiseAndAFalseAnswer) {
+    auto request = RequestRecord();
+    request.end = RequestEnd::Answered;
+    request.status = 503;
+    CHECK(!isFault(request, 8 * SECOND));
+    request.runs = 1;
+    CHECK(isFault(request, 8 * SECOND));
+    request.status = 502;
+    CHECK(!isFault(request, 8 * SECOND));
+    request.status = 200;
+    CHECK(isFault(request, 8 * SECOND));
+    request.wholeBody = true;
+    CHECK(!isFault(request, 8 * SECOND));
+}
+
+}  // namespace duneturn::soak
