A stopping node answers pipelined requests that it has read

Callers saw: of several requests in one write, the first was answered with `Connection: close` by a node that had got SIGTERM, and the connection closed on the others without an answer. Cause: while a response is awaited DisconnectWatch reads what the client sends ahead; ClientRequest ended the connection with the first response after SIGTERM, whatever stood in the buffer.

Now a response ends the connection only if nothing further has been read. Once a response has said so, nothing more is read ahead: a request that crosses the close is left unread. And the connection is closed after the client has closed its side, 0.5 s later at the latest: closed with unread bytes, the response's last bytes would be lost to a reset.

Unchanged without a stop: a connection that its client wants to keep is kept.

--- a/src/daemon/client_request.cpp
+++ b/src/daemon/client_request.cpp
@@ -46,6 +46,7 @@
     const HttpRequest& request, Microseconds idleLimit)
     : services_(services),
       stream_(stream),
+      buffer_(buffer),
       request_(request),
       idleLimit_(idleLimit),
       isHead_(request.method() == http::verb::head),
@@ -109,6 +110,13 @@
     services_.responses.erase(number_);
 }
 
+// While this process stops, a response ends its connection; but not before the client's next request, if that
+// has been read already.
+auto ClientRequest::staysOpen(const Progress& progress) const -> bool {
+    if (!request_.keep_alive() || (progress.streamed && isHttp10_)) return false;
+    return !services_.logic.closing || buffer_.size() > 0;
+}
+
 auto ClientRequest::takeProgress() -> Progress {
     auto progress = Progress();
     auto lock = std::lock_guard(response_->mutex);
@@ -137,8 +145,8 @@
         auto over = progress.end != ClientResponse::End::Open;
         co_return over ? Next::Close : Next::Wait;
     }
-    if (!headWritten_)
-        keepAlive_ = keepAlive_ && !services_.logic.closing && !(progress.streamed && isHttp10_);
+    if (!headWritten_) keepAlive_ = staysOpen(progress);
+    if (!keepAlive_) watch_->stopReadingAhead();
     if (!headWritten_ && !progress.streamed) co_return co_await writeWhole(progress);
     co_return co_await writeStreamed(progress);
 }
@@ -156,7 +164,7 @@
     stream_.expires_after(std::chrono::microseconds(CLIENT_WRITE_TIMEOUT));
     auto bytes = std::array{asio::buffer(head), asio::buffer(body)};
     auto [failed, count] = co_await asio::async_write(stream_, bytes, quiet);
-    co_return !failed && keepAlive_ ? Next::Reuse : Next::Close;
+    co_return failed ? Next::Close : afterWholeResponse();
 }
 
 // The next piece of a streamed response, the head before the first one.
@@ -210,9 +218,14 @@
     return text;
 }
 
+auto ClientRequest::afterWholeResponse() -> Next {
+    closesKeptConnection_ = !keepAlive_ && request_.keep_alive();
+    return keepAlive_ ? Next::Reuse : Next::Close;
+}
+
 auto ClientRequest::afterEnd(const Progress& progress) -> Next {
     auto whole = progress.end == ClientResponse::End::Whole;
-    if (whole) return keepAlive_ ? Next::Reuse : Next::Close;
+    if (whole) return afterWholeResponse();
     if (isHttp10_) {
         // Without chunks only a reset shows that the end came early.
         auto ignored = beast::error_code();
--- a/src/daemon/client_request.hpp
+++ b/src/daemon/client_request.hpp
@@ -34,6 +34,8 @@
     /// Has the request served. `arrived`: when its first byte was read. Whether the connection may carry
     /// another.
     auto run(Microseconds arrived) -> asio::awaitable<bool>;
+    /// Whether a whole response ended a connection that the client wanted to keep; after run().
+    [[nodiscard]] auto closesKeptConnection() const -> bool { return closesKeptConnection_; }
 
   private:
     /// What of the response can be written now.
@@ -56,6 +58,7 @@
     auto clientGone() -> void;
     auto finish() -> void;
 
+    auto staysOpen(const Progress& progress) const -> bool;
     auto takeProgress() -> Progress;
     auto hasProgress() -> bool;
     auto writeProgress() -> asio::awaitable<Next>;
@@ -64,15 +67,18 @@
     auto responseHead(const Progress& progress) const -> std::string;
     auto streamText(const Progress& progress) const -> std::string;
     auto afterEnd(const Progress& progress) -> Next;
+    auto afterWholeResponse() -> Next;
 
     RequestServices services_;
     beast::tcp_stream& stream_;
+    const beast::flat_buffer& buffer_;  // of the connection: what the client has sent beyond this request
     const HttpRequest& request_;
     const Microseconds idleLimit_;
     const bool isHead_;    // the response has no body
     const bool isHttp10_;  // no chunks: a stream ends with its connection
     bool keepAlive_;       // the connection stays open after the response
     bool headWritten_ = false;
+    bool closesKeptConnection_ = false;
     std::int64_t number_ = 0;  // the edge's, of this request
     std::shared_ptr<ClientResponse> response_;
     std::shared_ptr<asio::steady_timer> changed_;  // cancelled when the response has changed
--- a/src/daemon/client_session.cpp
+++ b/src/daemon/client_session.cpp
@@ -74,14 +74,26 @@
         if (!begun) co_return false;
         arrived = bootNow();
     }
+    co_return co_await serveRequest(limits, arrived);
+}
+
+auto ClientSession::serveRequest(const ConnectionLimits& limits, Microseconds arrived)
+    -> asio::awaitable<bool> {
     auto request = co_await readRequest(limits);
     if (!request) co_return false;
     stream_->expires_never();
-    if (!isForServers(*request)) co_return co_await serveHere(*request);
+    if (isForServers(*request)) co_return co_await forward(*request, arrived);
+    co_return co_await serveHere(*request);
+}
+
+// Has a request answered by the edge. Whether the connection may carry another.
+auto ClientSession::forward(const HttpRequest& request, Microseconds arrived) -> asio::awaitable<bool> {
     auto services = RequestServices{context_.logic, context_.workers, context_.responses};
     auto idleLimit = context_.adapter.present() ? this->limits().idle : Microseconds(0);
-    auto forwarded = ClientRequest(services, *stream_, buffer_, *request, idleLimit);
-    co_return co_await forwarded.run(arrived);
+    auto forwarded = ClientRequest(services, *stream_, buffer_, request, idleLimit);
+    auto reusable = co_await forwarded.run(arrived);
+    if (forwarded.closesKeptConnection()) co_await closeGracefully();
+    co_return reusable;
 }
 
 auto ClientSession::limits() -> ConnectionLimits {
@@ -174,6 +186,12 @@
     co_await drainInput();
 }
 
+// Ends a connection whose client may be sending a further request.
+auto ClientSession::closeGracefully() -> asio::awaitable<void> {
+    stream_->expires_after(std::chrono::microseconds(CLOSE_TIMEOUT));
+    co_await drainInput();
+}
+
 // What still comes is read for a moment: closed with unread bytes, the response would be lost to a reset.
 auto ClientSession::drainInput() -> asio::awaitable<void> {
     auto ignored = beast::error_code();
--- a/src/daemon/client_session.hpp
+++ b/src/daemon/client_session.hpp
@@ -59,11 +59,14 @@
     using Parser = http::request_parser<http::string_body>;
 
     auto serveNext() -> asio::awaitable<bool>;
+    auto serveRequest(const ConnectionLimits& limits, Microseconds arrived) -> asio::awaitable<bool>;
+    auto forward(const HttpRequest& request, Microseconds arrived) -> asio::awaitable<bool>;
     auto waitForFirstByte(const ConnectionLimits& limits) -> asio::awaitable<bool>;
     auto readRequest(const ConnectionLimits& limits) -> asio::awaitable<std::optional<HttpRequest>>;
     auto readBody(Parser& parser) -> asio::awaitable<beast::error_code>;
     auto countBadInput(beast::error_code fault) -> void;
     auto reject(Rejection rejection) -> asio::awaitable<void>;
+    auto closeGracefully() -> asio::awaitable<void>;
     auto drainInput() -> asio::awaitable<void>;
     auto isForServers(const HttpRequest& request) const -> bool;
     auto serveHere(const HttpRequest& request) -> asio::awaitable<bool>;
--- a/src/daemon/disconnect_watch.cpp
+++ b/src/daemon/disconnect_watch.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "daemon/limits.hpp"
+#include "net/socket.hpp"
 
 namespace duneturn {
 
@@ -16,11 +17,20 @@
     auto wait = tcp::socket::wait_read;
     stream_.socket().async_wait(wait, [self = shared_from_this()](beast::error_code failed) {
         if (self->stopped_) return;
-        if (!failed && self->readAhead()) return self->start();
-        self->onGone_();
+        if (failed) return self->onGone_();
+        self->onReadable();
     });
 }
 
+// Bytes that are left unread end the watch: the connection's end cannot be seen behind them.
+auto DisconnectWatch::onReadable() -> void {
+    auto descriptor = stream_.socket().native_handle();
+    if (!readsAhead_ && hasUnreadBytes(descriptor)) return;
+    auto alive = readsAhead_ ? readAhead() : isSocketQuiet(descriptor);
+    if (alive) start();
+    else onGone_();
+}
+
 // Takes what has come; false if the connection has ended.
 auto DisconnectWatch::readAhead() -> bool {
     auto failed = beast::error_code();
--- a/src/daemon/disconnect_watch.hpp
+++ b/src/daemon/disconnect_watch.hpp
@@ -16,15 +16,20 @@
     DisconnectWatch(beast::tcp_stream& stream, beast::flat_buffer& buffer, std::function<void()> onGone);
 
     auto start() -> void;
+    /// Leaves unread what the client sends from now on, since no further request of its connection is
+    /// answered.
+    auto stopReadingAhead() -> void { readsAhead_ = false; }
     /// The wait itself ends with the client's next bytes, or with its connection.
     auto stop() -> void { stopped_ = true; }
 
   private:
+    auto onReadable() -> void;
     auto readAhead() -> bool;
 
     beast::tcp_stream& stream_;
     beast::flat_buffer& buffer_;
     std::function<void()> onGone_;
+    bool readsAhead_ = true;
     bool stopped_ = false;
 };
 
--- a/src/daemon/limits.hpp
+++ b/src/daemon/limits.hpp
@@ -44,6 +44,8 @@
 constexpr Microseconds ACCEPT_RETRY = 50 * MILLISECOND;
 /// For the response to a faulty request, whose client may not be reading.
 constexpr Microseconds REJECT_WRITE_TIMEOUT = 2 * SECOND;
+/// For a client to close its side of a connection that a response has ended.
+constexpr Microseconds CLOSE_TIMEOUT = 500 * MILLISECOND;
 /// Bytes of a faulty request that are still read, so that its response isn't lost to a reset.
 constexpr std::size_t REJECT_DRAIN_BYTES = std::size_t(16) << 20;
 constexpr std::size_t REJECT_DRAIN_STEP_BYTES = 4096;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -40,4 +40,9 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+auto hasUnreadBytes(int descriptor) -> bool {
+    auto byte = char();
+    return ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 }  // namespace duneturn
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -19,4 +19,7 @@
 /// Whether nothing waits to be read on a socket, not even the other side's end. Does not block.
 [[nodiscard]] auto isSocketQuiet(int descriptor) -> bool;
 
+/// Whether bytes wait to be read on a socket. Does not block, and leaves them.
+[[nodiscard]] auto hasUnreadBytes(int descriptor) -> bool;
+
 }  // namespace duneturn
