A stopping node waits for requests that are still being read

Callers saw: an upload was interrupted when a node that had got SIGTERM ended 1.5 s later, with most of its grace left. Cause: a stop ends early once nothing is under way, and only requests that the edge had accepted counted, which they are once read whole. That a request had begun to come, or waited in a connection's buffer behind another, was not seen.

Now sessions count clients' requests from the first byte to the last byte of the answer, and PlannedStop is busy as long as there is one. The steps of the stop bound the wait: a request that is read whole after the node has begun to refuse gets 503, and the end of the grace ends everything.

--- a/src/daemon/client_listener.hpp
+++ b/src/daemon/client_listener.hpp
@@ -22,6 +22,8 @@
     auto start() -> void;
     /// Takes no further clients, and closes their connections that carry no request. With Logic::mutex held.
     auto closeIdle() -> void;
+    /// Requests of clients that have begun to come and are not answered wholly yet.
+    [[nodiscard]] auto requestsUnderWay() const -> int { return context_.requestsUnderWay; }
 
   private:
     struct Listener {
--- a/src/daemon/client_session.cpp
+++ b/src/daemon/client_session.cpp
@@ -74,7 +74,11 @@
         if (!begun) co_return false;
         arrived = bootNow();
     }
-    co_return co_await serveRequest(limits, arrived);
+    auto isOfClient = kind_ == ListenerKind::Client;
+    context_.requestsUnderWay += int(isOfClient);
+    auto more = co_await serveRequest(limits, arrived);
+    context_.requestsUnderWay -= int(isOfClient);
+    co_return more;
 }
 
 auto ClientSession::serveRequest(const ConnectionLimits& limits, Microseconds arrived)
--- a/src/daemon/client_session.hpp
+++ b/src/daemon/client_session.hpp
@@ -34,7 +34,8 @@
     AdapterHost& adapter;
     const Settings& settings;
 
-    std::atomic<int> sessions = 0;  ///< Open now.
+    std::atomic<int> sessions = 0;          ///< Open now.
+    std::atomic<int> requestsUnderWay = 0;  ///< Of clients: from a request's first byte to its answer's last.
     // Guarded by Logic::mutex.
     std::set<std::shared_ptr<beast::tcp_stream>> idle = {};  ///< Connections that wait for a request.
     ConnectionLimits clientLimits = {};                      ///< Of the configuration in force.
--- a/src/daemon/planned_stop.cpp
+++ b/src/daemon/planned_stop.cpp
@@ -24,10 +24,11 @@
     return schedule_ == Schedule::Grace ? stepGrace(now, busy(now)) : stepDrain(now, busy(now));
 }
 
-// A response that its session has not written yet is as unfinished as its request was. Nor does a voter end
-// without its successor.
+// A request that is still being read, or whose response its session has not written yet, is under way as
+// well. Nor does a voter end without its successor.
 auto PlannedStop::busy(Microseconds now) const -> bool {
-    return logic_.edge->activeRequests() > 0 || !responses_.empty() || !logic_.node->voteHandedOver(now);
+    auto requests = logic_.edge->activeRequests() > 0 || !responses_.empty();
+    return requests || listeners_.requestsUnderWay() > 0 || !logic_.node->voteHandedOver(now);
 }
 
 auto PlannedStop::stepDrain(Microseconds now, bool busy) -> bool {
