--- a/tests/soak.sh
+++ b/tests/platform/soak.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Usage: soak.sh PROGRAM DRIVER [SEED [SECONDS [EDGES [CLIENTS]]]]
 #
-# Planned stops of real processes in overlapping series, by a seed (see tests/soak/main.cpp). A process that
+# Planned stops of real processes in overlapping series, by a seed (see tests/platform/soak/main.cpp). A process that
 # ends is started again, as the platform does. EDGES: nodes without a disk in each of three zones; CLIENTS: of
 # each kind. Fails if a request was lost, or if a process ended otherwise than by its stop.
 set -u
--- a/tests/soak/clients.cpp
+++ b/tests/platform/soak/clients.cpp
@@ -1,4 +1,4 @@
-#include "soak/clients.hpp"
+#include "platform/soak/clients.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -98,7 +98,8 @@
     auto count = kind == ClientKind::Pipeline ? 2 + int(random_.below(MOST_PIPELINED - 1)) : 1;
     auto calls = std::vector<Call>();
     for (auto i = 0; i < count; i++)
-        calls.push_back({fmt::format("{:016x}", 0x9c41d07b00000000 + std::uint64_t(++lastNumber_)), drawPath(kind)});
+        calls.push_back(
+            {fmt::format("{:016x}", 0x9c41d07b00000000 + std::uint64_t(++lastNumber_)), drawPath(kind)});
     return calls;
 }
 
--- a/tests/soak/clients.hpp
+++ b/tests/platform/soak/clients.hpp
@@ -8,9 +8,9 @@
 #include "base/random.hpp"
 #include "base/time.hpp"
 #include "net/http.hpp"
-#include "soak/deployment.hpp"
-#include "soak/model_servers.hpp"
-#include "soak/records.hpp"
+#include "platform/soak/deployment.hpp"
+#include "platform/soak/model_servers.hpp"
+#include "platform/soak/records.hpp"
 
 namespace duneturn::soak {
 
@@ -50,7 +50,8 @@
     auto use(Connection& connection, ClientKind kind) -> asio::awaitable<void>;
     auto drawCalls(ClientKind kind) -> std::vector<Call>;
     auto drawPath(ClientKind kind) -> std::string;
-    auto send(Connection& connection, ClientKind kind, const std::vector<Call>& calls) -> asio::awaitable<bool>;
+    auto send(Connection& connection, ClientKind kind, const std::vector<Call>& calls)
+        -> asio::awaitable<bool>;
     auto sendSlowly(Connection& connection, const Call& call) -> asio::awaitable<bool>;
     auto receive(Connection& connection, ClientKind kind, const Call& call) -> asio::awaitable<void>;
     auto abandon(Connection& connection, ClientKind kind, const Call& call, RequestEnd end) -> void;
--- a/tests/soak/deployment.cpp
+++ b/tests/platform/soak/deployment.cpp
@@ -1,4 +1,4 @@
-#include "soak/deployment.hpp"
+#include "platform/soak/deployment.hpp"
 
 #include <cstddef>
 #include <filesystem>
@@ -84,8 +84,8 @@
         "NodeName = \"{}\"\nRole = \"node\"\nMachineClass = \"edge\"\n"
         "Serves = [\"edge\",\"control\",\"registry\"]\nIp = \"{}\"\nZone = \"{}\"\nRegion = \"{}\"\n"
         "InternalPorts = [{},{}]\nSeedAddrs = [{}]\nBootstrap = {}\nQuorumMember = {}\n",
-        revision, node.name, node.ip, node.zone, node.region, ports_ + PEER_PORT, ports_ + OPERATOR_PORT, seeds,
-        bootstrap, node.isCore);
+        revision, node.name, node.ip, node.zone, node.region, ports_ + PEER_PORT, ports_ + OPERATOR_PORT,
+        seeds, bootstrap, node.isCore);
     if (node.isCore) text += fmt::format("DataPath = \"{}/data-{}\"\n", folder_, node.name);
     text += fmt::format(
         "Discovery = \"platform\"\nEntry = \"registry\"\nBeatIntervalMs = 1200\n"
--- a/tests/soak/deployment.hpp
+++ b/tests/platform/soak/deployment.hpp
@@ -1,6 +1,6 @@
 #pragma once
 // The nodes of a soak: their addresses and settings, and the signals that they get. The processes themselves
-// are started, and started again, by tests/soak.sh, which leaves each one's process id in a file.
+// are started, and started again, by tests/platform/soak.sh, which leaves each one's process id in a file.
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -32,7 +32,8 @@
     [[nodiscard]] auto serverAddress(std::size_t zone, std::size_t server) const -> std::string;
     [[nodiscard]] auto zoneName(std::size_t zone) const -> std::string;
 
-    /// Writes the settings of a node. `bootstrap`: for the first start of all. `revision`: changes the text only.
+    /// Writes the settings of a node. `bootstrap`: for the first start of all. `revision`: changes the text
+    /// only.
     auto writeSettings(std::size_t node, bool bootstrap, int revision) const -> void;
     /// The node's process at the moment, if it runs.
     [[nodiscard]] auto process(std::size_t node) const -> std::optional<pid_t>;
--- a/tests/soak/disruptions.cpp
+++ b/tests/platform/soak/disruptions.cpp
@@ -1,4 +1,4 @@
-#include "soak/disruptions.hpp"
+#include "platform/soak/disruptions.hpp"
 
 #include <chrono>
 #include <csignal>
@@ -113,8 +113,8 @@
 auto Disruptions::awaitReturn(std::size_t node) -> asio::awaitable<void> {
     auto until = bootNow() + RETURN_TIMEOUT;
     while (bootNow() < until) {
-        auto status = co_await callStatus(
-            context_, deployment_.readinessAddress(node), "GET", "/v1/ready", "", "");
+        auto status =
+            co_await callStatus(context_, deployment_.readinessAddress(node), "GET", "/v1/ready", "", "");
         if (status == READY) co_return;
         co_await pause(RETURN_LOOK_PERIOD);
     }
--- a/tests/soak/disruptions.hpp
+++ b/tests/platform/soak/disruptions.hpp
@@ -1,6 +1,6 @@
 #pragma once
-// What the soak does to its nodes: planned stops, further signals meanwhile, new settings and configurations, in
-// series that overlap. Nothing unplanned: no node is cut off, slowed or killed within its grace.
+// What the soak does to its nodes: planned stops, further signals meanwhile, new settings and configurations,
+// in series that overlap. Nothing unplanned: no node is cut off, slowed or killed within its grace.
 #include <cstddef>
 #include <cstdint>
 #include <vector>
@@ -10,9 +10,9 @@
 #include "base/random.hpp"
 #include "base/time.hpp"
 #include "net/http.hpp"
-#include "soak/deployment.hpp"
-#include "soak/operator_calls.hpp"
-#include "soak/records.hpp"
+#include "platform/soak/deployment.hpp"
+#include "platform/soak/operator_calls.hpp"
+#include "platform/soak/records.hpp"
 
 namespace duneturn::soak {
 
--- a/tests/soak/loss_rule.cpp
+++ b/tests/platform/soak/loss_rule.cpp
@@ -1,4 +1,4 @@
-#include "soak/loss_rule.hpp"
+#include "platform/soak/loss_rule.hpp"
 
 #include <optional>
 #include <string>
@@ -28,8 +28,8 @@
     return LAST_SIXTH * elapsed >= (LAST_SIXTH - 1) * stop.grace && elapsed <= stop.grace + AFTER_GRACE;
 }
 
-// A cut that is allowed: its server was still at work in the last sixth of the grace, on a request that was sent
-// early enough.
+// A cut that is allowed: its server was still at work in the last sixth of the grace, on a request that was
+// sent early enough.
 auto isAllowedCut(const RequestRecord& request, const PlannedStopRecord& stop) -> bool {
     auto serverAtWork = request.runs > 0 && !request.serverDoneAt;
     auto sentEarly = request.begunAt <= stop.signalledAt + LATEST_CUTTABLE;
@@ -63,9 +63,11 @@
     -> std::optional<std::string> {
     // Its first bytes crossed the close of an idle connection.
     if (request.endedAt - request.begunAt <= LOSS_SLACK) return std::nullopt;
-    if (!stop) return std::string("its connection ended while it was being sent, and its node was not stopping");
+    if (!stop)
+        return std::string("its connection ended while it was being sent, and its node was not stopping");
     if (inLastSixth(request.endedAt, *stop)) return std::nullopt;
-    return fmt::format("its connection ended while it was being sent, {} us after the signal ({} us of grace)",
+    return fmt::format(
+        "its connection ended while it was being sent, {} us after the signal ({} us of grace)",
         request.endedAt - stop->signalledAt, stop->grace);
 }
 
--- a/tests/soak/loss_rule.hpp
+++ b/tests/platform/soak/loss_rule.hpp
@@ -1,6 +1,7 @@
 #pragma once
-// The rule that the soak of planned stops judges by: a request that a node has read is answered completely, but
-// for what whoever stops the node allows to be cut. Without input or output; times are microseconds of one clock.
+// The rule that the soak of planned stops judges by: a request that a node has read is answered completely,
+// but for what whoever stops the node allows to be cut. Without input or output; times are microseconds of
+// one clock.
 #include <optional>
 #include <string>
 
@@ -19,14 +20,14 @@
 /// One request as client, node and server saw it.
 struct RequestRecord {
     std::string name;
-    Microseconds begunAt = 0;     ///< Its first byte was sent.
-    Microseconds sentAt = 0;      ///< Its last byte was sent; 0 where it was not.
-    Microseconds endedAt = 0;     ///< Its answer was whole, or its connection's end was seen.
-    Microseconds timeLimit = 0;   ///< The client's deadline or the route's timeout, whichever is shorter.
+    Microseconds begunAt = 0;    ///< Its first byte was sent.
+    Microseconds sentAt = 0;     ///< Its last byte was sent; 0 where it was not.
+    Microseconds endedAt = 0;    ///< Its answer was whole, or its connection's end was seen.
+    Microseconds timeLimit = 0;  ///< The client's deadline or the route's timeout, whichever is shorter.
     RequestEnd end = RequestEnd::NotReached;
-    int status = 0;               ///< Of the answer; 0: none came.
-    bool wholeBody = false;       ///< The answer is the server's whole answer.
-    int runs = 0;                 ///< Servers that began to work on it.
+    int status = 0;                 ///< Of the answer; 0: none came.
+    bool wholeBody = false;         ///< The answer is the server's whole answer.
+    int runs = 0;                   ///< Servers that began to work on it.
     Microseconds serverDoneAt = 0;  ///< A server had sent its whole answer; 0: none had.
 };
 
@@ -38,7 +39,7 @@
 
 /// What is wrong with a request; nothing if all is well. `stop`: the last stop of its node that was signalled
 /// before the request's end, if there is one.
-[[nodiscard]] auto judgeRequest(
-    const RequestRecord& request, const std::optional<PlannedStopRecord>& stop) -> std::optional<std::string>;
+[[nodiscard]] auto judgeRequest(const RequestRecord& request, const std::optional<PlannedStopRecord>& stop)
+    -> std::optional<std::string>;
 
 }  // namespace duneturn::soak
--- a/tests/soak/loss_rule_test.cpp
+++ b/tests/platform/soak/loss_rule_test.cpp
@@ -2,7 +2,7 @@
 #include <optional>
 
 #include "base/time.hpp"
-#include "soak/loss_rule.hpp"
+#include "platform/soak/loss_rule.hpp"
 #include "test.hpp"
 
 namespace duneturn::soak {
--- a/tests/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -1,7 +1,8 @@
-// The soak of planned stops: real processes of `duneturn platform` are stopped and started in overlapping series,
-// while clients keep using their connections. tests/soak.sh starts the processes and calls this twice:
-//   duneturn-soak settings FOLDER PORTS EDGES GRACE_MS              writes the nodes' first settings, prints their names
-//   duneturn-soak run FOLDER PORTS EDGES GRACE_MS SEED SECONDS CLIENTS
+// The soak of planned stops: real processes of `duneturn platform` are stopped and started in overlapping
+// series, while clients keep using their connections. tests/platform/soak.sh starts the processes and calls
+// this twice:
+//   duneturn-soak settings FOLDER PORTS EDGES GRACE_MS              writes the nodes' first settings, prints
+//   their names duneturn-soak run FOLDER PORTS EDGES GRACE_MS SEED SECONDS CLIENTS
 // Exits with 1 if a request was lost or a node failed, with 2 if the soak could not run.
 #include <chrono>
 #include <cstddef>
@@ -15,12 +16,12 @@
 
 #include "base/time.hpp"
 #include "net/http.hpp"
-#include "soak/clients.hpp"
-#include "soak/deployment.hpp"
-#include "soak/disruptions.hpp"
-#include "soak/model_servers.hpp"
-#include "soak/operator_calls.hpp"
-#include "soak/records.hpp"
+#include "platform/soak/clients.hpp"
+#include "platform/soak/deployment.hpp"
+#include "platform/soak/disruptions.hpp"
+#include "platform/soak/model_servers.hpp"
+#include "platform/soak/operator_calls.hpp"
+#include "platform/soak/records.hpp"
 
 namespace duneturn::soak {
 
@@ -92,8 +93,8 @@
 
     auto awaitReady(std::size_t node, Microseconds limit) -> asio::awaitable<bool> {
         while (bootNow() < limit) {
-            auto status = co_await callStatus(
-                context_, deployment_.readinessAddress(node), "GET", "/v1/ready", "", "");
+            auto status =
+                co_await callStatus(context_, deployment_.readinessAddress(node), "GET", "/v1/ready", "", "");
             if (status == READY) co_return true;
             co_await look();
         }
@@ -110,13 +111,16 @@
     auto report() -> int {
         auto& counts = disruptions_.counts();
         auto exercised = counts.stops > 0 && operatorCalls_.acknowledged() > 1;
-        fmt::print("seed {}: {} nodes, grace {} us: {} stops ({} of the core), {} SIGTERM again, {} SIGHUP and "
-                   "{} in stops, {} configurations\n",
+        fmt::print(
+            "seed {}: {} nodes, grace {} us: {} stops ({} of the core), {} SIGTERM again, {} SIGHUP and "
+            "{} in stops, {} configurations\n",
             options_.seed, deployment_.nodes().size(), deployment_.grace(), counts.stops, counts.coreStops,
             counts.repeatedSignals, counts.reloads, counts.reloadsInStops, operatorCalls_.acknowledged());
         for (auto& [kind, tally] : records_.tallies()) {
-            fmt::print("  {}: {} answered ({} by stopping nodes), {} refused, {} cut, {} unsent, {} not reached\n",
-                kind, tally.answered, tally.inStops, tally.refused, tally.cut, tally.unsent, tally.notReached);
+            fmt::print(
+                "  {}: {} answered ({} by stopping nodes), {} refused, {} cut, {} unsent, {} not reached\n",
+                kind, tally.answered, tally.inStops, tally.refused, tally.cut, tally.unsent,
+                tally.notReached);
             exercised = exercised && tally.answered > 0 && tally.inStops > 0;
         }
         fmt::print("seed {}: {} faults\n", options_.seed, records_.faults());
--- a/tests/soak/model_servers.cpp
+++ b/tests/platform/soak/model_servers.cpp
@@ -1,4 +1,4 @@
-#include "soak/model_servers.hpp"
+#include "platform/soak/model_servers.hpp"
 
 #include <chrono>
 #include <cstddef>
--- a/tests/soak/model_servers.hpp
+++ b/tests/platform/soak/model_servers.hpp
@@ -6,8 +6,8 @@
 
 #include "base/time.hpp"
 #include "net/http.hpp"
-#include "soak/deployment.hpp"
-#include "soak/records.hpp"
+#include "platform/soak/deployment.hpp"
+#include "platform/soak/records.hpp"
 
 namespace duneturn::soak {
 
--- a/tests/soak/operator_calls.hpp
+++ b/tests/platform/soak/operator_calls.hpp
@@ -7,7 +7,7 @@
 
 #include "base/random.hpp"
 #include "net/http.hpp"
-#include "soak/deployment.hpp"
+#include "platform/soak/deployment.hpp"
 
 namespace duneturn::soak {
 
--- a/tests/soak/records.cpp
+++ b/tests/platform/soak/records.cpp
@@ -1,4 +1,4 @@
-#include "soak/records.hpp"
+#include "platform/soak/records.hpp"
 
 #include <cstddef>
 #include <string>
@@ -6,7 +6,7 @@
 #include <fmt/format.h>
 
 #include "base/time.hpp"
-#include "soak/loss_rule.hpp"
+#include "platform/soak/loss_rule.hpp"
 
 namespace duneturn::soak {
 
--- a/tests/soak/records.hpp
+++ b/tests/platform/soak/records.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "base/time.hpp"
-#include "soak/loss_rule.hpp"
+#include "platform/soak/loss_rule.hpp"
 
 namespace duneturn::soak {
 
