--- a/tests/platform/soak/deployment.cpp
+++ b/tests/platform/soak/deployment.cpp
@@ -32,8 +32,8 @@
 constexpr auto SERVER_PORT = 7;
 constexpr auto LIST_PORT = 8;
 /// The last part of the loopback addresses of the first node and of the first server of a zone.
-constexpr auto FIRST_NODE = 10;
-constexpr auto FIRST_SERVER = 200;
+constexpr std::size_t FIRST_NODE = 10;
+constexpr std::size_t FIRST_SERVER = 200;
 
 auto ipOf(std::size_t zone, std::size_t host) -> std::string {
     constexpr auto NET = 77;  // 127.77.0.0/16
@@ -49,7 +49,7 @@
     for (auto zone = std::size_t(0); zone < ZONES.size(); zone++)
         for (auto i = 0; i <= edgesPerZone; i++)
             nodes_.push_back({fmt::format("{}-{}", ZONES[zone].name, i), ZONES[zone].name, ZONES[zone].region,
-                ipOf(zone, std::size_t(FIRST_NODE + i)), i == 0});
+                ipOf(zone, FIRST_NODE + std::size_t(i)), i == 0});
 }
 
 auto Deployment::address(const std::string& ip, int offset) const -> std::string {
