Tests: the soak leaves out times in which its machine itself is held up

So - a loss counts for nothing if the soak's own loop was held up by over 200 ms (the rule's finest time) within 5 s before the request or meanwhile; such are counted and printed; - killed processes are counted and printed; a fault if they are most.

--- a/tests/platform/soak/disruptions.hpp
+++ b/tests/platform/soak/disruptions.hpp
@@ -19,6 +19,7 @@
 /// How often each was done.
 struct DisruptionCounts {
     int stops = 0, coreStops = 0, repeatedSignals = 0, reloads = 0, reloadsInStops = 0;
+    int kills = 0;  ///< Processes that were still there when their grace was over.
 };
 
 class Disruptions {
--- a/tests/platform/soak/loss_rule.cpp
+++ b/tests/platform/soak/loss_rule.cpp
@@ -73,6 +73,10 @@
 
 }  // namespace
 
+auto overlapsTrouble(const RequestRecord& request, Microseconds lastTroubleAt) -> bool {
+    return lastTroubleAt > 0 && lastTroubleAt >= request.begunAt - TROUBLE_BEFORE;
+}
+
 auto judgeRequest(const RequestRecord& request, const std::optional<PlannedStopRecord>& stop)
     -> std::optional<std::string> {
     switch (request.end) {
--- a/tests/platform/soak/loss_rule.hpp
+++ b/tests/platform/soak/loss_rule.hpp
@@ -37,6 +37,11 @@
     Microseconds grace = 0;
 };
 
+/// Whether the machine of a soak was in trouble of its own while a request could be judged by it: from
+/// `TROUBLE_BEFORE` before its first byte to its end. The rule speaks of times without unplanned trouble.
+constexpr Microseconds TROUBLE_BEFORE = 5 * SECOND;
+[[nodiscard]] auto overlapsTrouble(const RequestRecord& request, Microseconds lastTroubleAt) -> bool;
+
 /// What is wrong with a request; nothing if all is well. `stop`: the last stop of its node that was signalled
 /// before the request's end, if there is one.
 [[nodiscard]] auto judgeRequest(const RequestRecord& request, const std::optional<PlannedStopRecord>& stop)
--- a/tests/platform/soak/records.hpp
+++ b/tests/platform/soak/records.hpp
@@ -14,7 +14,8 @@
 /// How many requests of one kind ended how.
 struct Tally {
     int answered = 0, refused = 0, cut = 0, unsent = 0, notReached = 0;
-    int inStops = 0;  ///< Answered with success by a node that was stopping.
+    int inStops = 0;    ///< Answered with success by a node that was stopping.
+    int notJudged = 0;  ///< Faults that count for nothing, as the machine was in trouble of its own.
 };
 
 /// Used by one thread.
@@ -29,6 +30,8 @@
     /// Judges a request that has ended, and forgets it.
     auto finish(const std::string& name, const std::string& kind, std::size_t node) -> void;
     auto recordStop(std::size_t node, const PlannedStopRecord& stop) -> void { stops_[node] = stop; }
+    /// The soak itself was held up: its machine is in trouble, which no node is to blame for.
+    auto recordTrouble() -> void;
     auto recordFault(const std::string& fault) -> void;
 
     [[nodiscard]] auto tallies() const -> const std::map<std::string, Tally>& { return tallies_; }
@@ -38,6 +41,7 @@
     std::map<std::string, RequestRecord> requests_;
     std::vector<std::optional<PlannedStopRecord>> stops_;  // the last of each node
     std::map<std::string, Tally> tallies_;
+    Microseconds lastTroubleAt_ = 0;
     int faults_ = 0;
 };
 
