--- a/tests/daemon/planned_stop_test.cpp
+++ b/tests/daemon/planned_stop_test.cpp
@@ -1,5 +1,6 @@
-// A planned stop and the requests of one client's connection: what has been read is answered, and what is being
-// read is waited for. Real sockets on loopback; the node has no configuration, so each answer is a rejection.
+// A planned stop and the requests of one client's connection: what has been read is answered, and what is
+// being read is waited for. Real sockets on loopback; the node has no configuration, so each answer is a
+// rejection.
 #include <chrono>
 #include <cstdint>
 #include <functional>
