--- a/tests/daemon/answer_reader_test.cpp
+++ b/tests/daemon/answer_reader_test.cpp
@@ -15,10 +15,10 @@
 namespace {
 
 auto options() -> AnswerOptions {
-    auto o = AnswerOptions();
-    o.mayEndByClose = true;
-    o.notExecuted = "X-Not-Run";
-    return o;
+    auto result = AnswerOptions();
+    result.mayEndByClose = true;
+    result.notExecuted = "X-Not-Run";
+    return result;
 }
 
 // What was read, in one line: the head's status, events, the body, the failure.
@@ -67,7 +67,7 @@
 
 }  // namespace
 
-TEST(AnswerReader, framing) {
+TEST(AnswerReader, judgesTheEndOfAnAnswerByItsFraming) {
     auto closed = ConnectionEnd::Closed, reset = ConnectionEnd::Reset;
     CHECK_EQ(std::string("head 200;whole abc;"),
         readAll("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", std::nullopt));
@@ -96,7 +96,7 @@
     CHECK_EQ(failed(AttemptEvent::MalformedResponse), readAll("no answer\r\n\r\n", std::nullopt));
 }
 
-TEST(AnswerReader, interimAnswers) {
+TEST(AnswerReader, skipsInterimAnswersAndRejectsOtherProtocols) {
     CHECK_EQ(std::string("head 200;whole a;"),
         readAll("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\n"
                 "Content-Length: 1\r\n\r\na",
@@ -106,7 +106,7 @@
         readAll("HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n", std::nullopt));
 }
 
-TEST(AnswerReader, streams) {
+TEST(AnswerReader, passesOnWholeEventsOnly) {
     auto head = std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
     auto chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
     auto event = std::string("c\r\nid: 1\ndata:a\r\n2\r\n\n\n\r\n");
@@ -126,7 +126,7 @@
 }
 
 // A connection is kept only if nothing but the whole answer came on it.
-TEST(AnswerReader, keptConnections) {
+TEST(AnswerReader, keepsAConnectionOnlyBehindOneWholeAnswer) {
     auto keep = [](const std::string& bytes, std::optional<ConnectionEnd> end = std::nullopt) {
         auto reader = AnswerReader(options());
         reader.feed(bytes);
@@ -145,8 +145,8 @@
     CHECK_EQ(SECOND, keep("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\nContent-Length: 1\r\n\r\na"));
 }
 
-// Connections that brought something while they rested are closed and not given out.
-TEST(AnswerReader, restingConnections) {
+// Connections that received bytes while they were idle are closed and not given out.
+TEST(AnswerReader, givesOutNoConnectionThatReceivedBytesWhileIdle) {
     struct Link {
         int id;
         std::shared_ptr<bool> quiet;
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -8,16 +8,16 @@
 #include "test.hpp"
 
 auto main(int argc, char** argv) -> int {
-    auto res = CppUnit::TestResult();
-    auto col = CppUnit::TestResultCollector();
-    auto brief = CppUnit::BriefTestProgressListener();
-    res.addListener(&col);
-    res.addListener(&brief);
-    auto run = CppUnit::TestRunner();
+    auto result = CppUnit::TestResult();
+    auto collector = CppUnit::TestResultCollector();
+    auto progress = CppUnit::BriefTestProgressListener();
+    result.addListener(&collector);
+    result.addListener(&progress);
+    auto runner = CppUnit::TestRunner();
     for (auto i = 1; i < argc; i++)
-        run.addTest(CppUnit::TestFactoryRegistry::getRegistry(argv[i]).makeTest());
-    run.run(res);
-    CppUnit::CompilerOutputter(&col, std::cerr).write();
+        runner.addTest(CppUnit::TestFactoryRegistry::getRegistry(argv[i]).makeTest());
+    runner.run(result);
+    CppUnit::CompilerOutputter(&collector, std::cerr).write();
     // A suite that holds no test must not pass for a green one.
-    return col.runTests() > 0 && col.wasSuccessful() ? 0 : 1;
+    return collector.runTests() > 0 && collector.wasSuccessful() ? 0 : 1;
 }
