Tests: two soaks on one machine wait for each other

Their ports are fixed by the seed, as those of the fleet tests are, which have such a lock (tests/lib.sh).

--- a/tests/platform/soak.sh
+++ b/tests/platform/soak.sh
@@ -13,6 +13,9 @@
 readonly GRACES_MS=(8000 2000 5000 11000)
 grace=${GRACES_MS[$((seed % ${#GRACES_MS[@]}))]}
 
+# The ports are fixed: another run with them on this machine goes first.
+exec {lock}>"/tmp/duneturn-soak-$PORTS.lock"
+flock -w 300 "$lock" || { echo "another run holds the ports from $PORTS"; exit 2; }
 work=$(mktemp -d)
 supervisors=()
 
