--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -93,6 +93,7 @@
     if (::pipe2(ends, O_CLOEXEC) != 0) return server;
     server.pid = ::fork();
     if (server.pid == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::dup2(ends[1], 1);
         ::execl(self, self, "server", ip.c_str(), id.c_str(), nullptr);
         ::_exit(127);
--- a/review/standins-2/fleet.hpp
+++ b/review/standins-2/fleet.hpp
@@ -7,6 +7,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -343,6 +344,7 @@
         std::ofstream(file) << settings(machine);
         auto pid = ::fork();
         if (pid == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // also if the case is ended from outside
             auto log = ::open((machine.folder + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(log, 1);
             ::dup2(log, 2);
