An answer without a length is not whole once its connection was reset

Cause: the request was written whole before anything was read. The kernel tells of a reset once only. The write that failed got ECONNRESET and forgot which error it was; the reading after it got the bytes that had arrived and an end of file, which is how an answer without a length ends. With what a socket's buffers hold, the write is over before the reset, so that short requests never showed it.

Change: ServerExchange writes and reads at the same time. A write leaves an error that waits on the socket to the reading, which tells a reset from an end that came before it; an error that a write got all the same (it came in between) makes the end of file behind it a reset. An answer is passed on before a long request has been read; the rest of that request is still written, for 10 s at most, and the connection is kept only after it.

Evidence: the new suite UpstreamConnections plays halves and wholes x reset, crash, end in order, end and reset x length, chunks, none x plain, stream x 4 B, 100 kB, 4.1 MB.

--- a/src/daemon/limits.hpp
+++ b/src/daemon/limits.hpp
@@ -12,6 +12,8 @@
 /// Sent bytes without an acknowledgement, after which a server's machine is taken for dead.
 constexpr Microseconds SERVER_UNACKNOWLEDGED_LIMIT = 2 * SECOND;
 constexpr Microseconds SERVER_CONNECT_TIMEOUT = 1 * SECOND;
+/// For a server that has answered to read the rest of its request.
+constexpr Microseconds ANSWERED_REQUEST_WRITE_TIMEOUT = 10 * SECOND;
 /// A load probe as a whole; below the period of probes.
 constexpr Microseconds PROBE_TIMEOUT = 900 * MILLISECOND;
 constexpr std::size_t PROBE_BUFFER_BYTES = 64 * 1024;
--- /dev/null
+++ b/src/daemon/server_exchange.cpp
@@ -0,0 +1,124 @@
+#include "daemon/server_exchange.hpp"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <exception>
+#include <memory>
+#include <utility>
+
+#include "base/time.hpp"
+#include "daemon/limits.hpp"
+#include "net/socket.hpp"
+
+namespace duneturn {
+
+namespace {
+
+constexpr auto quiet = asio::as_tuple(asio::use_awaitable);
+
+}  // namespace
+
+ServerExchange::ServerExchange(
+    std::shared_ptr<Stream> stream, ServerRequest request, ExchangeObserver& observer)
+    : stream_(std::move(stream)),
+      request_(std::move(request)),
+      observer_(observer),
+      answer_(request_.answer),
+      writingOver_(stream_->get_executor()) {}
+
+auto ServerExchange::run() -> asio::awaitable<Microseconds> {
+    auto ignored = beast::error_code();
+    auto& socket = stream_->socket();
+    if (!socket.non_blocking()) socket.non_blocking(true, ignored);
+    writeSome();
+    if (writing_ == Writing::UnderWay) {
+        auto self = shared_from_this();
+        asio::co_spawn(stream_->get_executor(), writeRest(), [self](const std::exception_ptr&) {});
+    }
+    auto delivery = co_await readAnswer();
+    if (delivery != Delivery::Whole) close();
+    co_await awaitWritten();
+    auto reusable = delivery == Delivery::Whole && writing_ == Writing::Finished;
+    co_return reusable ? answer_.keepFor() : 0;
+}
+
+auto ServerExchange::unwritten() const -> std::array<asio::const_buffer, 2> {
+    auto ofHead = std::min(written_, request_.head.size());
+    return {asio::buffer(request_.head) + ofHead, asio::buffer(request_.body) + (written_ - ofHead)};
+}
+
+// Writes as much as the connection takes now. An error that waits on it is left to the reading: it tells a
+// connection that was reset from one that had ended in order before.
+auto ServerExchange::writeSome() -> void {
+    auto& socket = stream_->socket();
+    auto bytes = request_.head.size() + request_.body.size();
+    auto failed = beast::error_code();
+    while (written_ < bytes && !failed) {
+        if (written_ > 0 && hasPendingError(socket.native_handle())) {
+            writing_ = Writing::Failed;
+            return;
+        }
+        written_ += socket.write_some(unwritten(), failed);
+    }
+    if (!failed) return finishWriting();
+    if (failed == asio::error::would_block) return;
+    writing_ = Writing::Failed;
+    writeTookError_ = true;
+}
+
+auto ServerExchange::finishWriting() -> void {
+    writing_ = Writing::Finished;
+    request_.head = request_.body = std::string();  // streams last long
+    observer_.onRequestWritten();
+}
+
+auto ServerExchange::writeRest() -> asio::awaitable<void> {
+    while (writing_ == Writing::UnderWay) {
+        auto [failed] = co_await stream_->socket().async_wait(tcp::socket::wait_write, quiet);
+        if (writing_ != Writing::UnderWay) break;
+        if (failed) writing_ = Writing::Failed;
+        else writeSome();
+    }
+    writingOver_.cancel();
+}
+
+// A server that has answered may read on later, for a limited time.
+auto ServerExchange::awaitWritten() -> asio::awaitable<void> {
+    writingOver_.expires_after(std::chrono::microseconds(ANSWERED_REQUEST_WRITE_TIMEOUT));
+    while (writing_ == Writing::UnderWay) {
+        auto [cancelled] = co_await writingOver_.async_wait(quiet);
+        if (cancelled) continue;
+        close();
+        writing_ = Writing::Failed;
+    }
+}
+
+auto ServerExchange::readAnswer() -> asio::awaitable<Delivery> {
+    while (true) {
+        auto [failed, count] = co_await stream_->async_read_some(answer_.prepare(READ_BYTES), quiet);
+        if (!failed) answer_.received(count);
+        else answer_.end(endOf(failed));
+        auto delivery = observer_.onAnswerRead(answer_);
+        if (delivery != Delivery::Reading) co_return delivery;
+        if (!answer_.streamed()) continue;
+        auto wanted = co_await observer_.awaitStreamRoom();
+        if (!wanted) co_return Delivery::Over;
+    }
+}
+
+// The system tells of a reset once only. Once a write was told of it, reading gets what had arrived and then an
+// end of file, as if the server had ended the connection in order.
+auto ServerExchange::endOf(beast::error_code failed) -> ConnectionEnd {
+    // A server that has ended its side takes nothing more.
+    close();
+    return failed == asio::error::eof && !writeTookError_ ? ConnectionEnd::Closed : ConnectionEnd::Reset;
+}
+
+auto ServerExchange::close() -> void {
+    auto ignored = beast::error_code();
+    stream_->socket().close(ignored);
+    if (writing_ == Writing::UnderWay) writing_ = Writing::Failed;
+}
+
+}  // namespace duneturn
--- /dev/null
+++ b/src/daemon/server_exchange.hpp
@@ -0,0 +1,67 @@
+#pragma once
+// One request and its answer on one connection to a server. Both are under way at the same time, since a server
+// may answer before it has read a long request, and read on later.
+#include <array>
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "base/time.hpp"
+#include "daemon/answer_reader.hpp"
+#include "net/http.hpp"
+
+namespace duneturn {
+
+/// A request as it is written, and how its answer is read.
+struct ServerRequest {
+    std::string head, body;
+    AnswerOptions answer;
+};
+
+/// What an exchange tells of its course, and what it asks. Called on the connection's executor.
+class ExchangeObserver {
+  public:
+    virtual ~ExchangeObserver() = default;
+    virtual auto onRequestWritten() -> void = 0;
+    /// Takes the parts of the answer that are complete.
+    virtual auto onAnswerRead(AnswerReader& answer) -> Delivery = 0;
+    /// Waits until more of a stream may be read; false if nobody wants it any more.
+    virtual auto awaitStreamRoom() -> asio::awaitable<bool> = 0;
+};
+
+/// Used on the connection's executor only. Owns neither the observer, which must outlive run(), nor the
+/// connection alone.
+class ServerExchange : public std::enable_shared_from_this<ServerExchange> {
+  public:
+    using Stream = beast::tcp_stream;
+
+    /// `stream` is connected.
+    ServerExchange(std::shared_ptr<Stream> stream, ServerRequest request, ExchangeObserver& observer);
+
+    /// Writes the request and reads the answer. How long the connection may be kept for another request; 0: not
+    /// at all.
+    auto run() -> asio::awaitable<Microseconds>;
+
+  private:
+    enum class Writing { UnderWay, Finished, Failed };
+
+    auto unwritten() const -> std::array<asio::const_buffer, 2>;
+    auto writeSome() -> void;
+    auto writeRest() -> asio::awaitable<void>;
+    auto awaitWritten() -> asio::awaitable<void>;
+    auto finishWriting() -> void;
+    auto readAnswer() -> asio::awaitable<Delivery>;
+    auto endOf(beast::error_code failed) -> ConnectionEnd;
+    auto close() -> void;
+
+    std::shared_ptr<Stream> stream_;
+    ServerRequest request_;
+    ExchangeObserver& observer_;
+    AnswerReader answer_;
+    asio::steady_timer writingOver_;  // cancelled when `writing_` changes
+    std::size_t written_ = 0;         // bytes of the head and the body
+    Writing writing_ = Writing::UnderWay;
+    bool writeTookError_ = false;  // a write got the connection's error, which no later read will get
+};
+
+}  // namespace duneturn
--- a/src/daemon/upstream_connections.cpp
+++ b/src/daemon/upstream_connections.cpp
@@ -1,6 +1,5 @@
 #include "daemon/upstream_connections.hpp"
 
-#include <array>
 #include <chrono>
 #include <memory>
 #include <mutex>
@@ -103,10 +102,7 @@
 auto UpstreamConnections::run(std::shared_ptr<Attempt> attempt) -> asio::awaitable<void> {
     auto connected = co_await connect(*attempt);
     auto request = connected ? requestOf(*attempt) : std::nullopt;
-    if (request) {
-        co_await write(*attempt, *request);
-        co_await readAnswer(*attempt, request->answer);
-    }
+    if (request) co_await exchange(*attempt, std::move(*request));
     auto lock = std::lock_guard(logic_.mutex);
     attempts_.erase(attempt->key);
 }
@@ -157,37 +153,32 @@
     return written;
 }
 
-// A server may answer and close before it has read the whole request, so that a failed write is no reason not
-// to read.
-auto UpstreamConnections::write(Attempt& attempt, ServerRequest& request) -> asio::awaitable<void> {
-    auto bytes = std::array{asio::buffer(request.head), asio::buffer(request.body)};
-    auto [failed, count] = co_await asio::async_write(*attempt.stream, bytes, quiet);
-    attempt.writeFailed = bool(failed);
-    request.head = request.body = std::string();  // streams last long
-    if (failed) co_return;
-    auto lock = std::lock_guard(logic_.mutex);
-    logic_.edge->onRequestWritten(attempt.key.request, attempt.key.attempt);
-}
+/// Tells the edge how an attempt goes on.
+class UpstreamConnections::Observer : public ExchangeObserver {
+  public:
+    Observer(UpstreamConnections& owner, Attempt& attempt) : owner_(owner), attempt_(attempt) {}
 
-auto UpstreamConnections::readAnswer(Attempt& attempt, const AnswerOptions& options)
-    -> asio::awaitable<void> {
-    auto reader = AnswerReader(options);
-    while (true) {
-        auto [failed, count] = co_await attempt.stream->async_read_some(reader.prepare(READ_BYTES), quiet);
-        if (!failed) reader.received(count);
-        else reader.end(failed == asio::error::eof ? ConnectionEnd::Closed : ConnectionEnd::Reset);
-        if (deliverRead(attempt, reader) != Delivery::Reading) co_return;
-        if (!reader.streamed()) continue;
-        auto wanted = co_await waitForClient(attempt);
-        if (!wanted) co_return;
+    auto onRequestWritten() -> void override {
+        auto lock = std::lock_guard(owner_.logic_.mutex);
+        owner_.logic_.edge->onRequestWritten(attempt_.key.request, attempt_.key.attempt);
     }
-}
+    auto onAnswerRead(AnswerReader& answer) -> Delivery override {
+        auto lock = std::lock_guard(owner_.logic_.mutex);
+        return deliver(answer, *owner_.logic_.edge, attempt_.key.request, attempt_.key.attempt, bootNow());
+    }
+    auto awaitStreamRoom() -> asio::awaitable<bool> override { return owner_.waitForClient(attempt_); }
+
+  private:
+    UpstreamConnections& owner_;
+    Attempt& attempt_;
+};
 
-auto UpstreamConnections::deliverRead(Attempt& attempt, AnswerReader& reader) -> Delivery {
+auto UpstreamConnections::exchange(Attempt& attempt, ServerRequest request) -> asio::awaitable<void> {
+    auto observer = Observer(*this, attempt);
+    auto exchange = std::make_shared<ServerExchange>(attempt.stream, std::move(request), observer);
+    auto life = co_await exchange->run();
     auto lock = std::lock_guard(logic_.mutex);
-    auto delivery = deliver(reader, *logic_.edge, attempt.key.request, attempt.key.attempt, bootNow());
-    if (delivery == Delivery::Whole && !attempt.writeFailed) keep(attempt, reader.keepFor());
-    return delivery;
+    if (life > 0) keep(attempt, life);
 }
 
 // A client that reads slowly holds its server back, not this process's memory full. False once it has gone.
--- a/src/daemon/upstream_connections.hpp
+++ b/src/daemon/upstream_connections.hpp
@@ -14,7 +14,7 @@
 #include "daemon/client_response.hpp"
 #include "daemon/logic.hpp"
 #include "daemon/worker_pool.hpp"
-#include "daemon/answer_reader.hpp"
+#include "daemon/server_exchange.hpp"
 #include "net/connection_pool.hpp"
 #include "net/http.hpp"
 
@@ -62,24 +62,17 @@
         std::string server, address;
         asio::any_io_executor executor;
         std::shared_ptr<Stream> stream;
-        bool kept = false;         // its connection has carried another request before
-        bool writeFailed = false;  // the connection is not kept then
+        bool kept = false;  // its connection has carried another request before
         std::atomic<bool> dropped = false;
     };
-    /// A request as it is written, and how its answer is read.
-    struct ServerRequest {
-        std::string head, body;
-        AnswerOptions answer;
-    };
+    class Observer;
 
     // The steps of an attempt, each without Logic::mutex held; run() owns the attempt.
     auto run(std::shared_ptr<Attempt> attempt) -> asio::awaitable<void>;
     auto connect(Attempt& attempt) -> asio::awaitable<bool>;
     auto renewKept(Attempt& attempt) -> bool;
     auto requestOf(const Attempt& attempt) -> std::optional<ServerRequest>;
-    auto write(Attempt& attempt, ServerRequest& request) -> asio::awaitable<void>;
-    auto readAnswer(Attempt& attempt, const AnswerOptions& options) -> asio::awaitable<void>;
-    auto deliverRead(Attempt& attempt, AnswerReader& reader) -> Delivery;
+    auto exchange(Attempt& attempt, ServerRequest request) -> asio::awaitable<void>;
     auto waitForClient(Attempt& attempt) -> asio::awaitable<bool>;
 
     // With Logic::mutex held.
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -4,6 +4,7 @@
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string>
 
 #include <boost/asio/ip/address.hpp>
@@ -34,6 +35,11 @@
     set(IPPROTO_TCP, TCP_KEEPCNT, PROBES);
 }
 
+auto hasPendingError(int descriptor) -> bool {
+    auto look = pollfd{descriptor, 0, 0};
+    return ::poll(&look, 1, 0) == 1 && (look.revents & POLLERR) != 0;
+}
+
 auto isSocketQuiet(int descriptor) -> bool {
     auto byte = char();
     auto received = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -16,6 +16,10 @@
 /// after `limit` (a second at least), and three that get no answer end the connection.
 auto configureSocket(int descriptor, Microseconds limit) -> void;
 
+/// Whether an error waits on a socket. It is left there: the next call that reads or writes gets it, and only
+/// that one.
+[[nodiscard]] auto hasPendingError(int descriptor) -> bool;
+
 /// Whether nothing waits to be read on a socket, not even the other side's end. Does not block.
 [[nodiscard]] auto isSocketQuiet(int descriptor) -> bool;
 
--- /dev/null
+++ b/tests/daemon/scripted_server.hpp
@@ -0,0 +1,120 @@
+#pragma once
+// A model server on loopback for one connection. It answers a request whose head it has read, and leaves the rest
+// unread until it is told to read on.
+#include <array>
+#include <cstddef>
+#include <string>
+
+#include <linux/filter.h>
+#include <sys/socket.h>
+
+#include "net/http.hpp"
+
+namespace duneturn {
+
+/// How an answer tells its length.
+enum class Framing { Length, Chunks, None };
+
+/// An answer's bytes, and where its body may be cut.
+struct AnswerBytes {
+    std::string head, firstHalf, secondHalf;
+};
+
+/// The answer with a body of two halves. A stream's halves are whole events.
+inline auto answerBytes(
+    Framing framing, bool isStream, const std::string& name, const std::string& first, const std::string& second)
+    -> AnswerBytes {
+    auto head = "HTTP/1.1 200 OK\r\nX-Try: " + name + "\r\nContent-Type: "
+        + (isStream ? "text/event-stream" : "text/plain") + "\r\n";
+    auto chunk = [](const std::string& text) {
+        auto size = std::array<char, 16>();
+        std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+        return size.data() + text + "\r\n";
+    };
+    if (framing == Framing::Length)
+        return {head + "Content-Length: " + std::to_string(first.size() + second.size()) + "\r\n\r\n", first,
+            second};
+    if (framing == Framing::Chunks)
+        return {head + "Transfer-Encoding: chunked\r\n\r\n", chunk(first), chunk(second) + "0\r\n\r\n"};
+    return {head + "\r\n", first, second};
+}
+
+class ScriptedServer {
+  public:
+    explicit ScriptedServer(asio::io_context& context) : acceptor_(context), socket_(context) {
+        // So small that a long request waits in part at its sender.
+        constexpr auto RECEIVE_BUFFER_BYTES = 16 * 1024;
+        acceptor_.open(tcp::v4());
+        acceptor_.set_option(asio::socket_base::receive_buffer_size(RECEIVE_BUFFER_BYTES));
+        acceptor_.bind({asio::ip::address_v4::loopback(), 0});
+        acceptor_.listen();
+        acceptor_.async_accept(socket_, [this](beast::error_code failed) {
+            if (!failed) readHead();
+        });
+    }
+
+    [[nodiscard]] auto address() const -> std::string {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+    [[nodiscard]] auto endpoint() const -> tcp::endpoint { return acceptor_.local_endpoint(); }
+    /// The head of the request has been read.
+    [[nodiscard]] auto hasHead() const -> bool { return hasHead_; }
+    /// Bytes of the request that have been read.
+    [[nodiscard]] auto requestBytes() const -> std::size_t { return read_; }
+    [[nodiscard]] auto requestEnd() const -> const std::string& { return lastRead_; }
+
+    auto send(const std::string& bytes) -> void { asio::write(socket_, asio::buffer(bytes)); }
+    /// Reads the rest of the request, and the connection's end.
+    auto readOn() -> void {
+        socket_.async_read_some(asio::buffer(bytes_), [this](beast::error_code failed, std::size_t count) {
+            if (failed) return;
+            read_ += count;
+            lastRead_.assign(bytes_.data(), count);
+            readOn();
+        });
+    }
+    /// Ends the answer in order; the rest of the request is still read.
+    auto endAnswer() -> void {
+        socket_.shutdown(tcp::socket::shutdown_send);
+        readOn();
+    }
+    /// Ends in order, and is gone. With a part of the request unread the system resets the connection.
+    auto close() -> void { socket_.close(); }
+    auto reset() -> void {
+        socket_.set_option(asio::socket_base::linger(true, 0));
+        socket_.close();
+    }
+    /// Ends the answer in order and resets the connection at once, with a part of the request unread.
+    auto endAnswerAndReset() -> void {
+        socket_.shutdown(tcp::socket::shutdown_send);
+        reset();
+    }
+    /// From now on nothing reaches the server, and nothing is acknowledged: its machine is lost.
+    auto loseMachine() -> void {
+        auto refuse = sock_filter{BPF_RET | BPF_K, 0, 0, 0};
+        auto program = sock_fprog{1, &refuse};
+        ::setsockopt(
+            socket_.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+    }
+
+  private:
+    auto readHead() -> void {
+        // One byte at a time: nothing of the body.
+        socket_.async_read_some(asio::buffer(bytes_, 1), [this](beast::error_code failed, std::size_t) {
+            if (failed) return;
+            read_++;
+            head_ += bytes_[0];
+            hasHead_ = head_.ends_with("\r\n\r\n");
+            if (!hasHead_) readHead();
+        });
+    }
+
+    tcp::acceptor acceptor_;
+    tcp::socket socket_;
+    std::array<char, 64 * 1024> bytes_ = {};
+    std::string head_, lastRead_;
+    std::size_t read_ = 0;
+    bool hasHead_ = false;
+};
+
+}  // namespace duneturn
--- /dev/null
+++ b/tests/daemon/upstream_connections_test.cpp
@@ -0,0 +1,192 @@
+// Ends of servers' connections, by real sockets on loopback: an answer that the client gets as whole is the
+// server's whole answer, for each framing, each end and each length of request.
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "base/time.hpp"
+#include "daemon/client_response.hpp"
+#include "daemon/logic.hpp"
+#include "daemon/scripted_server.hpp"
+#include "daemon/upstream_connections.hpp"
+#include "daemon/worker_pool.hpp"
+#include "routing/edge_fixture.hpp"
+#include "test.hpp"
+
+namespace duneturn {
+
+namespace {
+
+constexpr auto STEP_TIMEOUT = std::chrono::seconds(10);
+/// Within the sockets' buffers, near them, and far above them.
+const auto REQUEST_BYTES = std::vector<std::size_t>{4, 100'000, 4'100'000};
+const auto FRAMINGS = std::vector<Framing>{Framing::Length, Framing::Chunks, Framing::None};
+const auto FIRST_HALF = std::string("id: 1\ndata: one\n\n");
+const auto SECOND_HALF = std::string("id: 2\ndata: two\n\n");
+
+/// How a client's request ended.
+enum class ClientEnd {
+    Whole,    ///< By the server's whole answer.
+    Partial,  ///< By an answer that looks whole and isn't.
+    Cut,      ///< By a stream that is visibly incomplete.
+    Failed    ///< By a failure of the edge's own.
+};
+
+/// One edge, one server, one request.
+class ServedRequest : public EdgeFixture {
+  public:
+    ServedRequest(std::size_t requestBytes, Framing framing, bool isStream)
+        : framing_(framing), isStream_(isStream) {
+        now = std::max(now, bootNow());
+        runFor(8 * SECOND);
+        auto members = isStream ? R"(,"MaxTries":1,"deadlineUs":60000000,"stream":true)"
+                                : R"(,"MaxTries":1,"deadlineUs":60000000)";
+        CHECK_EQ(200, orderConfig(configOf(members)));
+        listServers({{"x"}});
+        logic_.node = std::move(node);
+        logic_.edge = std::move(edge);
+        auto headers = Headers{{"Host", "h.example"}, {"X-Try", NAME}};
+        request_ = logic_.edge->accept(
+            "POST", "/a/x", headers, std::string(requestBytes, 'b'), bootNow());
+        runUntil([&] { return server.hasHead(); });
+    }
+
+    auto startAttempt(std::int64_t request, int attempt, const std::string& name, const std::string&)
+        -> void override {
+        upstreams_.begin({request, attempt}, name, server.address());
+    }
+    auto cancelAttempt(std::int64_t request, int attempt) -> void override {
+        upstreams_.drop({request, attempt});
+    }
+
+    auto sendHalf() -> void {
+        auto answer = bytes();
+        server.send(answer.head + answer.firstHalf);
+    }
+    auto sendSecondHalf() -> void { server.send(bytes().secondHalf); }
+    auto awaitEnd() -> ClientEnd {
+        auto hasEnded = [&] {
+            return replies.count(request_) || whole.count(request_) || cut.count(request_);
+        };
+        runUntil(hasEnded);
+        if (cut.count(request_)) return ClientEnd::Cut;
+        auto body = whole.count(request_) ? parts[request_] : replies[request_].body;
+        if (replies.count(request_) && replies[request_].status != 200) return ClientEnd::Failed;
+        return body == FIRST_HALF + SECOND_HALF ? ClientEnd::Whole : ClientEnd::Partial;
+    }
+    auto runUntil(const std::function<bool()>& done) -> void {
+        while (!done()) CHECK(workers_.context().run_one_for(STEP_TIMEOUT) > 0);
+    }
+
+  private:
+    static constexpr auto NAME = "t1";
+
+    auto bytes() const -> AnswerBytes {
+        return answerBytes(framing_, isStream_, NAME, FIRST_HALF, SECOND_HALF);
+    }
+
+    const Framing framing_;
+    const bool isStream_;
+    WorkerPool workers_{1};
+    Logic logic_;
+    ClientResponses responses_;
+    UpstreamConnections upstreams_{logic_, workers_, responses_, {true, true}};
+    std::int64_t request_ = 0;
+
+  public:
+    ScriptedServer server{workers_.context()};
+};
+
+/// Plays each kind of answer to each length of request, and compares how the request ends.
+auto checkEach(const std::function<void(ServedRequest&)>& play,
+    const std::function<ClientEnd(std::size_t requestBytes, Framing, bool isStream)>& expected) -> void {
+    for (auto requestBytes : REQUEST_BYTES)
+        for (auto framing : FRAMINGS)
+            for (auto isStream : {false, true}) {
+                auto request = ServedRequest(requestBytes, framing, isStream);
+                play(request);
+                auto what = fmt::format(
+                    "{} bytes, framing {}, stream {}", requestBytes, int(framing), isStream);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                    what, int(expected(requestBytes, framing, isStream)), int(request.awaitEnd()));
+            }
+}
+
+auto neverWhole(std::size_t, Framing, bool isStream) -> ClientEnd {
+    return isStream ? ClientEnd::Cut : ClientEnd::Failed;
+}
+
+}  // namespace
+
+// Guards against a half of an answer without a length that passes for all of it after a reset (review/4).
+TEST(UpstreamConnections, anAnswerThatIsResetHalfWayIsNotWhole) {
+    auto play = [](ServedRequest& request) {
+        request.sendHalf();
+        request.server.reset();
+    };
+    checkEach(play, neverWhole);
+}
+
+// The same, of a server that crashes: what it has not read of the request makes the close a reset.
+TEST(UpstreamConnections, anAnswerWhoseServerDiesWithARequestUnreadIsNotWhole) {
+    auto play = [](ServedRequest& request) {
+        request.sendHalf();
+        request.server.close();
+    };
+    checkEach(play, neverWhole);
+}
+
+// An answer without a length ends with its connection, whatever of the request is still to be read.
+TEST(UpstreamConnections, anAnswerThatEndsInOrderIsWholeByItsFraming) {
+    auto play = [](ServedRequest& request) {
+        request.sendHalf();
+        request.sendSecondHalf();
+        request.server.endAnswer();
+    };
+    checkEach(play, [](auto...) { return ClientEnd::Whole; });
+}
+
+// A half with a length, or in chunks, stays a half however its connection ends.
+TEST(UpstreamConnections, aHalfThatEndsInOrderIsNotWholeByItsFraming) {
+    auto play = [](ServedRequest& request) {
+        request.sendHalf();
+        request.server.endAnswer();
+    };
+    auto expected = [](std::size_t requestBytes, Framing framing, bool isStream) {
+        return framing == Framing::None ? ClientEnd::Partial : neverWhole(requestBytes, framing, isStream);
+    };
+    checkEach(play, expected);
+}
+
+// The end of the answer came before the reset, so that it is whole.
+TEST(UpstreamConnections, anAnswerThatEndedBeforeTheResetIsWhole) {
+    auto play = [](ServedRequest& request) {
+        request.sendHalf();
+        request.sendSecondHalf();
+        request.server.endAnswerAndReset();
+    };
+    checkEach(play, [](auto...) { return ClientEnd::Whole; });
+}
+
+// Guards against an answer that is held back until the server has read a long request.
+TEST(UpstreamConnections, anAnswerIsPassedOnBeforeTheRequestIsRead) {
+    for (auto framing : {Framing::Length, Framing::Chunks}) {
+        auto request = ServedRequest(REQUEST_BYTES.back(), framing, false);
+        request.sendHalf();
+        request.sendSecondHalf();
+        CHECK_EQ(int(ClientEnd::Whole), int(request.awaitEnd()));
+        CHECK(request.server.requestBytes() < REQUEST_BYTES.back());
+        // The rest of the request is still written, and nothing else in its place.
+        request.server.readOn();
+        request.runUntil([&] { return request.server.requestBytes() >= REQUEST_BYTES.back(); });
+        CHECK_EQ('b', request.server.requestEnd().back());
+    }
+}
+
+}  // namespace duneturn
