A server that reads nothing for a while is told from one whose machine is lost

Cause: TCP_USER_TIMEOUT (SERVER_UNACKNOWLEDGED_LIMIT, 2 s) counts a closed window like a lost machine, although the kernel of a server that only reads nothing answers each probe.

Where the system tells nothing, TCP_USER_TIMEOUT stays as it was. During a pause the kernel's probes are as far apart as the pause has been long, so a machine that is lost in a pause is noticed by the next one and 2 s.

--- a/src/daemon/server_exchange.cpp
+++ b/src/daemon/server_exchange.cpp
@@ -19,12 +19,14 @@
 
 }  // namespace
 
-ServerExchange::ServerExchange(
-    std::shared_ptr<Stream> stream, ServerRequest request, ExchangeObserver& observer)
+ServerExchange::ServerExchange(std::shared_ptr<Stream> stream, ServerRequest request,
+    ExchangeObserver& observer, Microseconds unacknowledgedLimit)
     : stream_(std::move(stream)),
       request_(std::move(request)),
       observer_(observer),
+      unacknowledgedLimit_(unacknowledgedLimit),
       answer_(request_.answer),
+      acknowledgements_(unacknowledgedLimit),
       writingOver_(stream_->get_executor()) {}
 
 auto ServerExchange::run() -> asio::awaitable<Microseconds> {
@@ -107,8 +109,8 @@
     }
 }
 
-// The system tells of a reset once only. Once a write was told of it, reading gets what had arrived and then an
-// end of file, as if the server had ended the connection in order.
+// The system tells of a reset once only. Once a write was told of it, reading gets what had arrived and then
+// an end of file, as if the server had ended the connection in order.
 auto ServerExchange::endOf(beast::error_code failed) -> ConnectionEnd {
     // A server that has ended its side takes nothing more.
     close();
@@ -121,4 +123,22 @@
     if (writing_ == Writing::UnderWay) writing_ = Writing::Failed;
 }
 
+auto ServerExchange::checkServer(Microseconds now) -> bool {
+    if (!stream_->socket().is_open()) return false;
+    auto descriptor = stream_->socket().native_handle();
+    auto queue = sendQueue(descriptor);
+    if (!queue) return false;
+    switch (acknowledgements_.observe(*queue, now)) {
+    case AcknowledgementWatch::Verdict::Acknowledged:
+        if (writing_ == Writing::UnderWay) return true;
+        if (limitLifted_) setUnacknowledgedLimit(descriptor, unacknowledgedLimit_);
+        return false;
+    case AcknowledgementWatch::Verdict::Waiting:
+        if (!std::exchange(limitLifted_, true)) setUnacknowledgedLimit(descriptor, 0);
+        return true;
+    case AcknowledgementWatch::Verdict::Lost: close(); return false;
+    }
+    return false;
+}
+
 }  // namespace duneturn
--- a/src/daemon/server_exchange.hpp
+++ b/src/daemon/server_exchange.hpp
@@ -1,6 +1,6 @@
 #pragma once
-// One request and its answer on one connection to a server. Both are under way at the same time, since a server
-// may answer before it has read a long request, and read on later.
+// One request and its answer on one connection to a server. Both are under way at the same time, since a
+// server may answer before it has read a long request, and read on later.
 #include <array>
 #include <cstddef>
 #include <memory>
@@ -8,6 +8,7 @@
 
 #include "base/time.hpp"
 #include "daemon/answer_reader.hpp"
+#include "net/acknowledgement_watch.hpp"
 #include "net/http.hpp"
 
 namespace duneturn {
@@ -35,12 +36,17 @@
   public:
     using Stream = beast::tcp_stream;
 
-    /// `stream` is connected.
-    ServerExchange(std::shared_ptr<Stream> stream, ServerRequest request, ExchangeObserver& observer);
+    /// `stream` is connected. `unacknowledgedLimit`: for how long the server's machine may leave bytes
+    /// unacknowledged; the connection has the same limit (configureSocket).
+    ServerExchange(std::shared_ptr<Stream> stream, ServerRequest request, ExchangeObserver& observer,
+        Microseconds unacknowledgedLimit);
 
-    /// Writes the request and reads the answer. How long the connection may be kept for another request; 0: not
-    /// at all.
+    /// Writes the request and reads the answer. How long the connection may be kept for another request; 0:
+    /// not at all.
     auto run() -> asio::awaitable<Microseconds>;
+    /// Closes the connection if the server's machine is lost; to be called several times within the limit.
+    /// False once there is nothing to check any more.
+    [[nodiscard]] auto checkServer(Microseconds now) -> bool;
 
   private:
     enum class Writing { UnderWay, Finished, Failed };
@@ -57,11 +63,14 @@
     std::shared_ptr<Stream> stream_;
     ServerRequest request_;
     ExchangeObserver& observer_;
+    const Microseconds unacknowledgedLimit_;
     AnswerReader answer_;
+    AcknowledgementWatch acknowledgements_;
     asio::steady_timer writingOver_;  // cancelled when `writing_` changes
     std::size_t written_ = 0;         // bytes of the head and the body
     Writing writing_ = Writing::UnderWay;
     bool writeTookError_ = false;  // a write got the connection's error, which no later read will get
+    bool limitLifted_ = false;     // the connection's own limit is off, and checkServer() stands in for it
 };
 
 }  // namespace duneturn
--- a/src/daemon/upstream_connections.cpp
+++ b/src/daemon/upstream_connections.cpp
@@ -84,6 +84,17 @@
 auto UpstreamConnections::sweep(std::size_t aliveNodes, Microseconds now) -> void {
     aliveNodes_ = aliveNodes;
     kept_.expire(now);
+    checkServers();
+}
+
+// Most attempts are over before their second sweep, or have all of their request acknowledged by then.
+auto UpstreamConnections::checkServers() -> void {
+    for (auto& [key, attempt] : attempts_) {
+        if (std::exchange(attempt->isFirstSweep, false) || !attempt->isServerChecked) continue;
+        asio::post(attempt->executor, [attempt = attempt] {
+            if (attempt->exchange) attempt->isServerChecked = attempt->exchange->checkServer(bootNow());
+        });
+    }
 }
 
 auto UpstreamConnections::mostKept(const std::string& server) const -> std::size_t {
@@ -175,8 +186,10 @@
 
 auto UpstreamConnections::exchange(Attempt& attempt, ServerRequest request) -> asio::awaitable<void> {
     auto observer = Observer(*this, attempt);
-    auto exchange = std::make_shared<ServerExchange>(attempt.stream, std::move(request), observer);
-    auto life = co_await exchange->run();
+    attempt.exchange = std::make_shared<ServerExchange>(
+        attempt.stream, std::move(request), observer, SERVER_UNACKNOWLEDGED_LIMIT);
+    auto life = co_await attempt.exchange->run();
+    attempt.exchange.reset();
     auto lock = std::lock_guard(logic_.mutex);
     if (life > 0) keep(attempt, life);
 }
--- a/src/daemon/upstream_connections.hpp
+++ b/src/daemon/upstream_connections.hpp
@@ -48,7 +48,8 @@
 
     /// Reads what a new configuration says of the servers' connections.
     auto configure(const rapidjson::Value& config) -> void;
-    /// Closes kept connections whose time is over. `aliveNodes` share what a server accepts.
+    /// Closes kept connections whose time is over, and those to servers that are lost with a part of a
+    /// request under way. `aliveNodes` share what a server accepts. To be called each SWEEP_PERIOD.
     auto sweep(std::size_t aliveNodes, Microseconds now) -> void;
     /// Closes all kept connections.
     auto closeKept() -> void { kept_.clear(); }
@@ -64,6 +65,9 @@
         std::shared_ptr<Stream> stream;
         bool kept = false;  // its connection has carried another request before
         std::atomic<bool> dropped = false;
+        std::shared_ptr<ServerExchange> exchange;  // used on `executor` only
+        bool isFirstSweep = true;                  // guarded by Logic::mutex
+        std::atomic<bool> isServerChecked = true;  // the exchange may still find that the server is lost
     };
     class Observer;
 
@@ -77,6 +81,7 @@
 
     // With Logic::mutex held.
     auto keep(const Attempt& attempt, Microseconds life) -> void;
+    auto checkServers() -> void;
     auto mostKept(const std::string& server) const -> std::size_t;
     static auto poolKey(const std::string& server, const std::string& address) -> std::string;
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -4,10 +4,13 @@
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <poll.h>
 #include <string>
 
 #include <boost/asio/ip/address.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "base/address.hpp"
@@ -28,13 +31,31 @@
         ::setsockopt(descriptor, level, option, &value, sizeof value);
     };
     set(IPPROTO_TCP, TCP_NODELAY, 1);
-    set(IPPROTO_TCP, TCP_USER_TIMEOUT, int(limit / MILLISECOND));
+    setUnacknowledgedLimit(descriptor, limit);
     set(SOL_SOCKET, SO_KEEPALIVE, 1);
     set(IPPROTO_TCP, TCP_KEEPIDLE, int(std::max(limit, SECOND) / SECOND));
     set(IPPROTO_TCP, TCP_KEEPINTVL, PROBE_INTERVAL_S);
     set(IPPROTO_TCP, TCP_KEEPCNT, PROBES);
 }
 
+auto setUnacknowledgedLimit(int descriptor, Microseconds limit) -> void {
+    auto milliseconds = int(limit / MILLISECOND);
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
+}
+
+auto sendQueue(int descriptor) -> std::optional<SendQueue> {
+    auto bytes = 0;
+    if (::ioctl(descriptor, SIOCOUTQ, &bytes) != 0 || bytes < 0) return std::nullopt;
+    if (bytes == 0) return SendQueue();
+    auto info = tcp_info();
+    auto length = socklen_t(sizeof info);
+    auto failed = ::getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &length);
+    auto isOpen = info.tcpi_state == TCP_ESTABLISHED || info.tcpi_state == TCP_CLOSE_WAIT;
+    if (failed || !isOpen) return std::nullopt;
+    auto awaits = info.tcpi_unacked > 0 || info.tcpi_probes > 0;
+    return SendQueue{std::size_t(bytes), awaits, Microseconds(info.tcpi_last_ack_recv) * MILLISECOND};
+}
+
 auto hasPendingError(int descriptor) -> bool {
     auto look = pollfd{descriptor, 0, 0};
     return ::poll(&look, 1, 0) == 1 && (look.revents & POLLERR) != 0;
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -1,5 +1,8 @@
 #pragma once
-// TCP sockets: endpoints, the options that all connections share, and a look at what waits to be read.
+// TCP sockets: endpoints, the options that all connections share, and a look at what waits to be read or
+// sent.
+#include <cstddef>
+#include <optional>
 #include <string>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -16,6 +19,19 @@
 /// after `limit` (a second at least), and three that get no answer end the connection.
 auto configureSocket(int descriptor, Microseconds limit) -> void;
 
+/// Limits anew how long sent bytes may be unacknowledged; 0: the system's own limit.
+auto setUnacknowledgedLimit(int descriptor, Microseconds limit) -> void;
+
+/// The bytes that were written to a connection and that its peer has not acknowledged.
+struct SendQueue {
+    std::size_t bytes = 0;
+    /// Segments or probes of a closed window are on their way; else the peer's window is closed.
+    bool awaitsAcknowledgement = false;
+    Microseconds sinceAcknowledgement = 0;  ///< Since the last one came.
+};
+/// What the system tells of a connection's send queue; empty if it tells nothing.
+[[nodiscard]] auto sendQueue(int descriptor) -> std::optional<SendQueue>;
+
 /// Whether an error waits on a socket. It is left there: the next call that reads or writes gets it, and only
 /// that one.
 [[nodiscard]] auto hasPendingError(int descriptor) -> bool;
--- a/tests/daemon/scripted_server.hpp
+++ b/tests/daemon/scripted_server.hpp
@@ -1,6 +1,6 @@
 #pragma once
-// A model server on loopback for one connection. It answers a request whose head it has read, and leaves the rest
-// unread until it is told to read on.
+// A model server on loopback for one connection. It answers a request whose head it has read, and leaves the
+// rest unread until it is told to read on.
 #include <array>
 #include <cstddef>
 #include <string>
@@ -21,11 +21,10 @@
 };
 
 /// The answer with a body of two halves. A stream's halves are whole events.
-inline auto answerBytes(
-    Framing framing, bool isStream, const std::string& name, const std::string& first, const std::string& second)
-    -> AnswerBytes {
-    auto head = "HTTP/1.1 200 OK\r\nX-Try: " + name + "\r\nContent-Type: "
-        + (isStream ? "text/event-stream" : "text/plain") + "\r\n";
+inline auto answerBytes(Framing framing, bool isStream, const std::string& name, const std::string& first,
+    const std::string& second) -> AnswerBytes {
+    auto head = "HTTP/1.1 200 OK\r\nX-Try: " + name
+        + "\r\nContent-Type: " + (isStream ? "text/event-stream" : "text/plain") + "\r\n";
     auto chunk = [](const std::string& text) {
         auto size = std::array<char, 16>();
         std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
@@ -93,8 +92,7 @@
     auto loseMachine() -> void {
         auto refuse = sock_filter{BPF_RET | BPF_K, 0, 0, 0};
         auto program = sock_fprog{1, &refuse};
-        ::setsockopt(
-            socket_.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+        ::setsockopt(socket_.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
     }
 
   private:
--- a/tests/daemon/upstream_connections_test.cpp
+++ b/tests/daemon/upstream_connections_test.cpp
@@ -52,8 +52,7 @@
         logic_.node = std::move(node);
         logic_.edge = std::move(edge);
         auto headers = Headers{{"Host", "h.example"}, {"X-Try", NAME}};
-        request_ = logic_.edge->accept(
-            "POST", "/a/x", headers, std::string(requestBytes, 'b'), bootNow());
+        request_ = logic_.edge->accept("POST", "/a/x", headers, std::string(requestBytes, 'b'), bootNow());
         runUntil([&] { return server.hasHead(); });
     }
 
@@ -111,8 +110,8 @@
             for (auto isStream : {false, true}) {
                 auto request = ServedRequest(requestBytes, framing, isStream);
                 play(request);
-                auto what = fmt::format(
-                    "{} bytes, framing {}, stream {}", requestBytes, int(framing), isStream);
+                auto what =
+                    fmt::format("{} bytes, framing {}, stream {}", requestBytes, int(framing), isStream);
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(
                     what, int(expected(requestBytes, framing, isStream)), int(request.awaitEnd()));
             }
