A stream that is cut ends with a reset where the client takes no chunks

Callers saw (found on looking for related ends): a client of HTTP/1.0, whose stream ends with its connection, got an end in order when the stream was cut, so that the part looked whole.

Cause: ClientRequest asked for a reset on close, but ClientSession::close shut the connection down in order first; and a process that is killed, or a client that is given up on, never reached that point.

Change: such a connection resets on close from the head of the stream on, and ends in order again once the stream is whole; it is not shut down before a reset.

--- a/src/daemon/client_request.cpp
+++ b/src/daemon/client_request.cpp
@@ -12,6 +12,7 @@
 
 #include "base/time.hpp"
 #include "daemon/limits.hpp"
+#include "net/socket.hpp"
 
 namespace duneturn {
 
@@ -174,6 +175,8 @@
         text = responseHead(progress);
         if (!services_.logic.edge->dialect().passThroughHeaders) text += "Cache-Control: no-cache\r\n";
         text += isHttp10_ ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n";
+        // Without chunks only a reset shows that the end came early.
+        if (isHttp10_) setResetOnClose(stream_.socket().native_handle(), true);
     }
     headWritten_ = true;
     text += streamText(progress);
@@ -224,14 +227,9 @@
 }
 
 auto ClientRequest::afterEnd(const Progress& progress) -> Next {
-    auto whole = progress.end == ClientResponse::End::Whole;
-    if (whole) return afterWholeResponse();
-    if (isHttp10_) {
-        // Without chunks only a reset shows that the end came early.
-        auto ignored = beast::error_code();
-        stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
-    }
-    return Next::Close;
+    if (progress.end != ClientResponse::End::Whole) return Next::Close;
+    if (isHttp10_) setResetOnClose(stream_.socket().native_handle(), false);
+    return afterWholeResponse();
 }
 
 }  // namespace duneturn
--- a/src/daemon/client_session.cpp
+++ b/src/daemon/client_session.cpp
@@ -236,7 +236,9 @@
 
 auto ClientSession::close() -> void {
     auto ignored = beast::error_code();
-    stream_->socket().shutdown(tcp::socket::shutdown_both, ignored);
+    // The shutdown alone would tell the client of an end in order.
+    auto isReset = isResetOnClose(stream_->socket().native_handle());
+    if (!isReset) stream_->socket().shutdown(tcp::socket::shutdown_both, ignored);
     stream_->socket().close(ignored);
 }
 
--- a/src/net/acknowledgement_watch.hpp
+++ b/src/net/acknowledgement_watch.hpp
@@ -1,6 +1,6 @@
 #pragma once
-// Tells a peer that reads nothing for a while from one whose machine is lost. Its kernel acknowledges probes of
-// its full receive buffer in the first case only. TCP_USER_TIMEOUT does not tell them apart: it ends both.
+// Tells a peer that reads nothing for a while from one whose machine is lost. Its kernel acknowledges probes
+// of its full receive buffer in the first case only. TCP_USER_TIMEOUT does not tell them apart: it ends both.
 #include <optional>
 
 #include "base/time.hpp"
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -56,6 +56,18 @@
     return SendQueue{std::size_t(bytes), awaits, Microseconds(info.tcpi_last_ack_recv) * MILLISECOND};
 }
 
+auto setResetOnClose(int descriptor, bool isReset) -> void {
+    auto option = linger{int(isReset), 0};
+    ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
+auto isResetOnClose(int descriptor) -> bool {
+    auto option = linger();
+    auto length = socklen_t(sizeof option);
+    auto failed = ::getsockopt(descriptor, SOL_SOCKET, SO_LINGER, &option, &length);
+    return !failed && option.l_onoff != 0 && option.l_linger == 0;
+}
+
 auto hasPendingError(int descriptor) -> bool {
     auto look = pollfd{descriptor, 0, 0};
     return ::poll(&look, 1, 0) == 1 && (look.revents & POLLERR) != 0;
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -32,6 +32,10 @@
 /// What the system tells of a connection's send queue; empty if it tells nothing.
 [[nodiscard]] auto sendQueue(int descriptor) -> std::optional<SendQueue>;
 
+/// Has a connection end with a reset when it is closed, also by the end of the process; or in order again.
+auto setResetOnClose(int descriptor, bool isReset) -> void;
+[[nodiscard]] auto isResetOnClose(int descriptor) -> bool;
+
 /// Whether an error waits on a socket. It is left there: the next call that reads or writes gets it, and only
 /// that one.
 [[nodiscard]] auto hasPendingError(int descriptor) -> bool;
--- a/tests/daemon/server_exchange_test.cpp
+++ b/tests/daemon/server_exchange_test.cpp
@@ -18,8 +18,8 @@
 
 constexpr Microseconds LIMIT = 300 * MILLISECOND;
 constexpr Microseconds PAUSE = 3 * LIMIT;
-/// Until a lost machine must have been noticed: after a pause the next probe may be as far away as the pause was
-/// long, and then the limit passes.
+/// Until a lost machine must have been noticed: after a pause the next probe may be as far away as the pause
+/// was long, and then the limit passes.
 constexpr Microseconds NOTICED = 2 * PAUSE + 2 * LIMIT;
 constexpr auto CHECK_PERIOD = std::chrono::milliseconds(30);
 constexpr std::size_t LONG_REQUEST = 4'100'000;
