--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -29,7 +29,7 @@
     bool awaitsAcknowledgement = false;
     Microseconds sinceAcknowledgement = 0;  ///< Since the last one came.
 };
-/// What the system tells of a connection's send queue; empty if it tells nothing.
+/// The state of a connection's send queue; empty if the system has no such information.
 [[nodiscard]] auto sendQueue(int descriptor) -> std::optional<SendQueue>;
 
 /// Has a connection end with a reset when it is closed, also by the end of the process; or in order again.
