--- a/src/daemon/answer_reader.cpp
+++ b/src/daemon/answer_reader.cpp
@@ -75,7 +75,7 @@
     if (streamed_) parser_->body_limit(boost::none);
     parts_.emplace_back(AnswerHead{status_, headers_});
     auto framed = parser_->is_done() || parser_->chunked() || parser_->content_length();
-    // Nothing tells the whole of such an answer from one that was cut.
+    // The whole of such an answer cannot be distinguished from one that was cut.
     if (!framed && !options_.mayEndByClose)
         fail(AttemptEvent::MalformedResponse, "an answer without a length");
 }
@@ -123,7 +123,7 @@
 
 namespace {
 
-// Passes one part on and tells whether another may follow.
+// Passes one part on; the result says whether another may follow.
 struct PartDelivery {
     Edge& edge;
     std::int64_t request;
--- a/src/daemon/answer_reader.hpp
+++ b/src/daemon/answer_reader.hpp
@@ -52,7 +52,7 @@
 class AnswerReader {
   public:
     explicit AnswerReader(AnswerOptions options);
-    /// Room for bytes that are about to be read; received() tells how many came.
+    /// Room for bytes that are about to be read; received() takes how many came.
     auto prepare(std::size_t most) -> asio::mutable_buffer { return buffer_.prepare(most); }
     auto received(std::size_t count) -> void;
     /// Takes bytes as they come.
@@ -94,7 +94,7 @@
     Whole,    ///< The answer was read whole.
     Over,     ///< The answer failed, or the edge does not want the rest of it.
 };
-/// Tells the edge of what was read of attempt `attempt` of request `request`.
+/// Reports to the edge what was read of attempt `attempt` of request `request`.
 auto deliver(AnswerReader& reader, Edge& edge, std::int64_t request, int attempt, Microseconds now)
     -> Delivery;
 
--- a/src/daemon/client_request.cpp
+++ b/src/daemon/client_request.cpp
@@ -81,7 +81,7 @@
     response_ = services_.responses.of(number_);
     auto responseLock = std::lock_guard(response_->mutex);
     response_->wake = [&workers = services_.workers, executor, changed = changed_] {
-        // The only worker need not be told by way of its queue.
+        // The only worker needs no handler in its queue.
         if (workers.onOnlyWorker()) changed->cancel();
         else asio::post(executor, [changed] { changed->cancel(); });
     };
--- a/src/daemon/client_session.cpp
+++ b/src/daemon/client_session.cpp
@@ -236,7 +236,7 @@
 
 auto ClientSession::close() -> void {
     auto ignored = beast::error_code();
-    // The shutdown alone would tell the client of an end in order.
+    // A shutdown would end the connection in order before the reset.
     auto isReset = isResetOnClose(stream_->socket().native_handle());
     if (!isReset) stream_->socket().shutdown(tcp::socket::shutdown_both, ignored);
     stream_->socket().close(ignored);
--- a/src/daemon/upstream_connections.cpp
+++ b/src/daemon/upstream_connections.cpp
@@ -90,9 +90,11 @@
 // Most attempts are over before their second sweep, or have all of their request acknowledged by then.
 auto UpstreamConnections::checkServers() -> void {
     for (auto& [key, attempt] : attempts_) {
-        if (std::exchange(attempt->isFirstSweep, false) || !attempt->isServerChecked) continue;
+        auto isNew = attempt->isFirstSweep;
+        attempt->isFirstSweep = false;
+        if (isNew || !attempt->isServerChecked) continue;
         asio::post(attempt->executor, [attempt = attempt] {
-            if (attempt->exchange) attempt->isServerChecked = attempt->exchange->checkServer(bootNow());
+            if (attempt->request) attempt->isServerChecked = attempt->request->checkServer(bootNow());
         });
     }
 }
@@ -113,7 +115,7 @@
 auto UpstreamConnections::run(std::shared_ptr<Attempt> attempt) -> asio::awaitable<void> {
     auto connected = co_await connect(*attempt);
     auto request = connected ? requestOf(*attempt) : std::nullopt;
-    if (request) co_await exchange(*attempt, std::move(*request));
+    if (request) co_await sendRequest(*attempt, std::move(*request));
     auto lock = std::lock_guard(logic_.mutex);
     attempts_.erase(attempt->key);
 }
@@ -164,8 +166,8 @@
     return written;
 }
 
-/// Tells the edge how an attempt goes on.
-class UpstreamConnections::Observer : public ExchangeObserver {
+/// Reports the progress of an attempt to the edge.
+class UpstreamConnections::Observer : public UpstreamRequestObserver {
   public:
     Observer(UpstreamConnections& owner, Attempt& attempt) : owner_(owner), attempt_(attempt) {}
 
@@ -184,12 +186,12 @@
     Attempt& attempt_;
 };
 
-auto UpstreamConnections::exchange(Attempt& attempt, ServerRequest request) -> asio::awaitable<void> {
+auto UpstreamConnections::sendRequest(Attempt& attempt, ServerRequest request) -> asio::awaitable<void> {
     auto observer = Observer(*this, attempt);
-    attempt.exchange = std::make_shared<ServerExchange>(
+    attempt.request = std::make_shared<UpstreamRequest>(
         attempt.stream, std::move(request), observer, SERVER_UNACKNOWLEDGED_LIMIT);
-    auto life = co_await attempt.exchange->run();
-    attempt.exchange.reset();
+    auto life = co_await attempt.request->run();
+    attempt.request.reset();
     auto lock = std::lock_guard(logic_.mutex);
     if (life > 0) keep(attempt, life);
 }
--- a/src/daemon/upstream_connections.hpp
+++ b/src/daemon/upstream_connections.hpp
@@ -14,7 +14,7 @@
 #include "daemon/client_response.hpp"
 #include "daemon/logic.hpp"
 #include "daemon/worker_pool.hpp"
-#include "daemon/server_exchange.hpp"
+#include "daemon/upstream_request.hpp"
 #include "net/connection_pool.hpp"
 #include "net/http.hpp"
 
@@ -39,7 +39,7 @@
 
     UpstreamConnections(Logic& logic, WorkerPool& workers, ClientResponses& responses, Options options);
 
-    /// Begins an attempt of a request at a server. What becomes of it is told to the edge.
+    /// Begins an attempt of a request at a server. Its progress is reported to the edge.
     auto begin(const AttemptKey& key, const std::string& server, const std::string& address) -> void;
     /// Closes an attempt's connection for good.
     auto drop(const AttemptKey& key) -> void;
@@ -65,9 +65,9 @@
         std::shared_ptr<Stream> stream;
         bool kept = false;  // its connection has carried another request before
         std::atomic<bool> dropped = false;
-        std::shared_ptr<ServerExchange> exchange;  // used on `executor` only
+        std::shared_ptr<UpstreamRequest> request;  // used on `executor` only
         bool isFirstSweep = true;                  // guarded by Logic::mutex
-        std::atomic<bool> isServerChecked = true;  // the exchange may still find that the server is lost
+        std::atomic<bool> isServerChecked = true;  // the request may still find that the server is lost
     };
     class Observer;
 
@@ -76,7 +76,7 @@
     auto connect(Attempt& attempt) -> asio::awaitable<bool>;
     auto renewKept(Attempt& attempt) -> bool;
     auto requestOf(const Attempt& attempt) -> std::optional<ServerRequest>;
-    auto exchange(Attempt& attempt, ServerRequest request) -> asio::awaitable<void>;
+    auto sendRequest(Attempt& attempt, ServerRequest request) -> asio::awaitable<void>;
     auto waitForClient(Attempt& attempt) -> asio::awaitable<bool>;
 
     // With Logic::mutex held.
--- a/src/daemon/server_exchange.cpp
+++ b/src/daemon/upstream_request.cpp
@@ -1,4 +1,4 @@
-#include "daemon/server_exchange.hpp"
+#include "daemon/upstream_request.hpp"
 
 #include <algorithm>
 #include <array>
@@ -19,8 +19,8 @@
 
 }  // namespace
 
-ServerExchange::ServerExchange(std::shared_ptr<Stream> stream, ServerRequest request,
-    ExchangeObserver& observer, Microseconds unacknowledgedLimit)
+UpstreamRequest::UpstreamRequest(std::shared_ptr<Stream> stream, ServerRequest request,
+    UpstreamRequestObserver& observer, Microseconds unacknowledgedLimit)
     : stream_(std::move(stream)),
       request_(std::move(request)),
       observer_(observer),
@@ -28,7 +28,7 @@
       answer_(request_.answer),
       acknowledgements_(unacknowledgedLimit) {}
 
-auto ServerExchange::run() -> asio::awaitable<Microseconds> {
+auto UpstreamRequest::run() -> asio::awaitable<Microseconds> {
     auto ignored = beast::error_code();
     auto& socket = stream_->socket();
     if (!socket.non_blocking()) socket.non_blocking(true, ignored);
@@ -44,14 +44,14 @@
     co_return reusable ? answer_.keepFor() : 0;
 }
 
-auto ServerExchange::unwritten() const -> std::array<asio::const_buffer, 2> {
+auto UpstreamRequest::unwritten() const -> std::array<asio::const_buffer, 2> {
     auto ofHead = std::min(written_, request_.head.size());
     return {asio::buffer(request_.head) + ofHead, asio::buffer(request_.body) + (written_ - ofHead)};
 }
 
-// Writes as much as the connection takes now. An error that waits on it is left to the reading: it tells a
-// connection that was reset from one that had ended in order before.
-auto ServerExchange::writeSome() -> void {
+// Writes as much as the connection takes now. A pending error is left to the read, which finds out whether
+// the connection had ended in order before it was reset.
+auto UpstreamRequest::writeSome() -> void {
     auto& socket = stream_->socket();
     auto bytes = request_.head.size() + request_.body.size();
     auto failed = beast::error_code();
@@ -68,13 +68,13 @@
     writeTookError_ = true;
 }
 
-auto ServerExchange::finishWriting() -> void {
+auto UpstreamRequest::finishWriting() -> void {
     writing_ = Writing::Finished;
     request_.head = request_.body = std::string();  // streams last long
     observer_.onRequestWritten();
 }
 
-auto ServerExchange::writeRest() -> asio::awaitable<void> {
+auto UpstreamRequest::writeRest() -> asio::awaitable<void> {
     while (writing_ == Writing::UnderWay) {
         auto [failed] = co_await stream_->socket().async_wait(tcp::socket::wait_write, quiet);
         if (writing_ != Writing::UnderWay) co_return;
@@ -85,7 +85,7 @@
 
 // A server that has answered may read on later, for a limited time. Until then its connection is of no use to
 // another request, which would wait behind the rest of this one.
-auto ServerExchange::awaitTaken() -> asio::awaitable<void> {
+auto UpstreamRequest::awaitTaken() -> asio::awaitable<void> {
     auto until = bootNow() + ANSWERED_REQUEST_TIMEOUT;
     auto timer = asio::steady_timer(stream_->get_executor());
     while (!isTaken() && bootNow() < until) {
@@ -96,13 +96,13 @@
 }
 
 // Whether the server's machine has all of the request that it will get.
-auto ServerExchange::isTaken() const -> bool {
+auto UpstreamRequest::isTaken() const -> bool {
     if (writing_ != Writing::Finished) return writing_ == Writing::Failed;
     auto queue = sendQueue(stream_->socket().native_handle());
     return !queue || queue->bytes == 0;
 }
 
-auto ServerExchange::readAnswer() -> asio::awaitable<Delivery> {
+auto UpstreamRequest::readAnswer() -> asio::awaitable<Delivery> {
     while (true) {
         auto [failed, count] = co_await stream_->async_read_some(answer_.prepare(READ_BYTES), quiet);
         if (!failed) answer_.received(count);
@@ -115,21 +115,21 @@
     }
 }
 
-// The system tells of a reset once only. Once a write was told of it, reading gets what had arrived and then
-// an end of file, as if the server had ended the connection in order.
-auto ServerExchange::endOf(beast::error_code failed) -> ConnectionEnd {
+// The system reports a reset once only. If a write got it, a read gets what had arrived and then an end of
+// file, as if the server had ended the connection in order.
+auto UpstreamRequest::endOf(beast::error_code failed) -> ConnectionEnd {
     // A server that has ended its side takes nothing more.
     close();
     return failed == asio::error::eof && !writeTookError_ ? ConnectionEnd::Closed : ConnectionEnd::Reset;
 }
 
-auto ServerExchange::close() -> void {
+auto UpstreamRequest::close() -> void {
     auto ignored = beast::error_code();
     stream_->socket().close(ignored);
     if (writing_ == Writing::UnderWay) writing_ = Writing::Failed;
 }
 
-auto ServerExchange::checkServer(Microseconds now) -> bool {
+auto UpstreamRequest::checkServer(Microseconds now) -> bool {
     if (!stream_->socket().is_open()) return false;
     auto descriptor = stream_->socket().native_handle();
     auto queue = sendQueue(descriptor);
@@ -140,7 +140,8 @@
         if (limitLifted_) setUnacknowledgedLimit(descriptor, unacknowledgedLimit_);
         return false;
     case AcknowledgementWatch::Verdict::Waiting:
-        if (!std::exchange(limitLifted_, true)) setUnacknowledgedLimit(descriptor, 0);
+        if (!limitLifted_) setUnacknowledgedLimit(descriptor, 0);
+        limitLifted_ = true;
         return true;
     case AcknowledgementWatch::Verdict::Lost: close(); return false;
     }
--- a/src/daemon/server_exchange.hpp
+++ b/src/daemon/upstream_request.hpp
@@ -19,10 +19,10 @@
     AnswerOptions answer;
 };
 
-/// What an exchange tells of its course, and what it asks. Called on the connection's executor.
-class ExchangeObserver {
+/// Is informed of a request's progress. Called on the connection's executor.
+class UpstreamRequestObserver {
   public:
-    virtual ~ExchangeObserver() = default;
+    virtual ~UpstreamRequestObserver() = default;
     virtual auto onRequestWritten() -> void = 0;
     /// Takes the parts of the answer that are complete.
     virtual auto onAnswerRead(AnswerReader& answer) -> Delivery = 0;
@@ -32,13 +32,13 @@
 
 /// Used on the connection's executor only. Owns neither the observer, which must outlive run(), nor the
 /// connection alone.
-class ServerExchange : public std::enable_shared_from_this<ServerExchange> {
+class UpstreamRequest : public std::enable_shared_from_this<UpstreamRequest> {
   public:
     using Stream = beast::tcp_stream;
 
     /// `stream` is connected. `unacknowledgedLimit`: for how long the server's machine may leave bytes
     /// unacknowledged; the connection has the same limit (configureSocket).
-    ServerExchange(std::shared_ptr<Stream> stream, ServerRequest request, ExchangeObserver& observer,
+    UpstreamRequest(std::shared_ptr<Stream> stream, ServerRequest request, UpstreamRequestObserver& observer,
         Microseconds unacknowledgedLimit);
 
     /// Writes the request and reads the answer. How long the connection may be kept for another request; 0:
@@ -63,7 +63,7 @@
 
     std::shared_ptr<Stream> stream_;
     ServerRequest request_;
-    ExchangeObserver& observer_;
+    UpstreamRequestObserver& observer_;
     const Microseconds unacknowledgedLimit_;
     AnswerReader answer_;
     AcknowledgementWatch acknowledgements_;
--- a/src/net/acknowledgement_watch.hpp
+++ b/src/net/acknowledgement_watch.hpp
@@ -1,6 +1,6 @@
 #pragma once
-// Tells a peer that reads nothing for a while from one whose machine is lost. Its kernel acknowledges probes
-// of its full receive buffer in the first case only. TCP_USER_TIMEOUT does not tell them apart: it ends both.
+// Distinguishes a peer that reads nothing for a while from one whose machine is lost: only the kernel of the
+// first acknowledges probes of its full receive buffer. TCP_USER_TIMEOUT ends the connection in both cases.
 #include <optional>
 
 #include "base/time.hpp"
--- a/tests/daemon/server_exchange_test.cpp
+++ b/tests/daemon/upstream_request_test.cpp
@@ -1,4 +1,4 @@
-// One exchange with a server that pauses, or whose machine is lost, by real sockets on loopback.
+// One request to a server that pauses, or whose machine is lost, by real sockets on loopback.
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -8,7 +8,7 @@
 
 #include "base/time.hpp"
 #include "daemon/scripted_server.hpp"
-#include "daemon/server_exchange.hpp"
+#include "daemon/upstream_request.hpp"
 #include "net/socket.hpp"
 #include "test.hpp"
 
@@ -29,15 +29,15 @@
 const auto FIRST_HALF = std::string("first half,");
 const auto SECOND_HALF = std::string("second half");
 
-class RecordedExchange : public ExchangeObserver {
+class RecordedRequest : public UpstreamRequestObserver {
   public:
-    explicit RecordedExchange(std::size_t requestBytes) : server(context_) {
+    explicit RecordedRequest(std::size_t requestBytes) : server(context_) {
         auto stream = std::make_shared<beast::tcp_stream>(context_);
         stream->connect(server.endpoint());
         configureSocket(stream->socket().native_handle(), LIMIT);
         auto request = ServerRequest{"POST /a HTTP/1.1\r\n\r\n", std::string(requestBytes, 'b'), {}};
         request.answer.mayEndByClose = true;
-        exchange_ = std::make_shared<ServerExchange>(stream, request, *this, LIMIT);
+        request_ = std::make_shared<UpstreamRequest>(stream, request, *this, LIMIT);
         asio::co_spawn(context_, run(), asio::detached);
         runUntil([&] { return server.hasHead(); });
     }
@@ -62,7 +62,7 @@
         auto until = bootNow() + most;
         while (!done() && bootNow() < until) {
             context_.run_one_for(CHECK_PERIOD);
-            if (isChecked_ && !life) isChecked_ = exchange_->checkServer(bootNow());
+            if (isChecked_ && !life) isChecked_ = request_->checkServer(bootNow());
         }
         return done();
     }
@@ -74,13 +74,13 @@
     bool isWritten = false;
     std::optional<std::string> body;
     std::optional<AttemptEvent> failed;
-    std::optional<Microseconds> life;  // of the connection, once the exchange is over
+    std::optional<Microseconds> life;  // of the connection, once the request is over
 
   private:
-    auto run() -> asio::awaitable<void> { life = co_await exchange_->run(); }
+    auto run() -> asio::awaitable<void> { life = co_await request_->run(); }
 
     asio::io_context context_;
-    std::shared_ptr<ServerExchange> exchange_;
+    std::shared_ptr<UpstreamRequest> request_;
     bool isChecked_ = true;
 
   public:
@@ -90,52 +90,52 @@
 }  // namespace
 
 // Guards against the end of a connection whose server answers early and reads on after the limit.
-TEST(ServerExchange, aServerMayReadOnLongAfterItBeganToAnswer) {
+TEST(UpstreamRequest, aServerMayReadOnLongAfterItBeganToAnswer) {
     for (auto requestBytes : {BUFFERED_REQUEST, LONG_REQUEST})
         for (auto framing : {Framing::Length, Framing::Chunks, Framing::None}) {
-            auto exchange = RecordedExchange(requestBytes);
-            exchange.send(framing, false);
-            exchange.pass(PAUSE);
-            CHECK(!exchange.failed);
-            exchange.server.readOn();
-            CHECK(exchange.runUntil([&] { return exchange.server.requestBytes() > requestBytes; }));
-            exchange.send(framing, true);
-            exchange.server.endAnswer();
-            CHECK(exchange.runUntil([&] { return exchange.life.has_value(); }));
-            CHECK(exchange.isWritten);
-            CHECK_EQ(FIRST_HALF + SECOND_HALF, exchange.body.value_or(""));
+            auto request = RecordedRequest(requestBytes);
+            request.send(framing, false);
+            request.pass(PAUSE);
+            CHECK(!request.failed);
+            request.server.readOn();
+            CHECK(request.runUntil([&] { return request.server.requestBytes() > requestBytes; }));
+            request.send(framing, true);
+            request.server.endAnswer();
+            CHECK(request.runUntil([&] { return request.life.has_value(); }));
+            CHECK(request.isWritten);
+            CHECK_EQ(FIRST_HALF + SECOND_HALF, request.body.value_or(""));
         }
 }
 
 // A lost machine is noticed, also while its server was pausing; what came of its answer is not whole.
-TEST(ServerExchange, aLostMachineEndsTheExchange) {
+TEST(UpstreamRequest, aLostMachineEndsTheRequest) {
     for (auto requestBytes : {BUFFERED_REQUEST, LONG_REQUEST})
         for (auto pause : {Microseconds(0), PAUSE}) {
-            auto exchange = RecordedExchange(requestBytes);
-            exchange.send(Framing::None, false);
-            exchange.pass(pause);
-            exchange.server.loseMachine();
-            CHECK(exchange.runUntil([&] { return exchange.life.has_value(); }, NOTICED));
-            CHECK(!exchange.body);
-            CHECK(exchange.failed == AttemptEvent::ConnectionReset);
+            auto request = RecordedRequest(requestBytes);
+            request.send(Framing::None, false);
+            request.pass(pause);
+            request.server.loseMachine();
+            CHECK(request.runUntil([&] { return request.life.has_value(); }, NOTICED));
+            CHECK(!request.body);
+            CHECK(request.failed == AttemptEvent::ConnectionReset);
         }
 }
 
 // Guards against a connection that is given to another request while its server has not taken all of this
 // one.
-TEST(ServerExchange, aConnectionIsKeptOnceTheServerHasTheWholeRequest) {
+TEST(UpstreamRequest, aConnectionIsKeptOnceTheServerHasTheWholeRequest) {
     for (auto requestBytes : {BUFFERED_REQUEST, LONG_REQUEST}) {
-        auto exchange = RecordedExchange(requestBytes);
-        exchange.send(Framing::Length, false);
-        exchange.send(Framing::Length, true);
-        CHECK(exchange.runUntil([&] { return exchange.body.has_value(); }));
-        exchange.pass(PAUSE);
-        CHECK(!exchange.life);
-        exchange.server.readOn();
-        CHECK(exchange.runUntil([&] { return exchange.life.has_value(); }));
-        CHECK(*exchange.life > 0);
-        CHECK(exchange.runUntil([&] { return exchange.server.requestBytes() > requestBytes; }));
-        CHECK(exchange.isWritten);
+        auto request = RecordedRequest(requestBytes);
+        request.send(Framing::Length, false);
+        request.send(Framing::Length, true);
+        CHECK(request.runUntil([&] { return request.body.has_value(); }));
+        request.pass(PAUSE);
+        CHECK(!request.life);
+        request.server.readOn();
+        CHECK(request.runUntil([&] { return request.life.has_value(); }));
+        CHECK(*request.life > 0);
+        CHECK(request.runUntil([&] { return request.server.requestBytes() > requestBytes; }));
+        CHECK(request.isWritten);
     }
 }
 
