An answer without a length is whole only if its server had taken all of the request

Callers would have seen a complete half also if the server died at a moment when it had read all that had come: the system then ends the connection in order, and resets it only for the bytes of the request that come after. Found while the soak's crashes were drawn up.

Which error a write got is of no matter any more, so the look for a waiting error before each write goes. Answers with a length or in chunks are not concerned.

--- a/src/daemon/answer_reader.hpp
+++ b/src/daemon/answer_reader.hpp
@@ -61,6 +61,8 @@
     auto end(ConnectionEnd how) -> void;
     /// The parts that are complete and were not taken yet.
     auto take() -> std::vector<AnswerPart>;
+    /// Whether the connection's end is the answer's end; known after its head.
+    auto endsWithConnection() const -> bool { return headKnown_ && parser_->need_eof(); }
     /// Nothing more will come: the answer is whole or has failed.
     auto over() const -> bool { return over_; }
     /// Whether the answer is passed on as a stream of events; known after its head.
--- a/src/daemon/upstream_request.cpp
+++ b/src/daemon/upstream_request.cpp
@@ -39,9 +39,9 @@
     }
     auto delivery = co_await readAnswer();
     if (delivery != Delivery::Whole) close();
-    co_await awaitTaken();
-    auto reusable = delivery == Delivery::Whole && writing_ == Writing::Finished;
-    co_return reusable ? answer_.keepFor() : 0;
+    auto hasTaken = co_await awaitTaken();
+    if (!hasTaken) close();
+    co_return delivery == Delivery::Whole&& hasTaken ? answer_.keepFor() : 0;
 }
 
 auto UpstreamRequest::unwritten() const -> std::array<asio::const_buffer, 2> {
@@ -49,23 +49,14 @@
     return {asio::buffer(request_.head) + ofHead, asio::buffer(request_.body) + (written_ - ofHead)};
 }
 
-// Writes as much as the connection takes now. A pending error is left to the read, which finds out whether
-// the connection had ended in order before it was reset.
+// Writes as much as the connection takes now.
 auto UpstreamRequest::writeSome() -> void {
     auto& socket = stream_->socket();
     auto bytes = request_.head.size() + request_.body.size();
     auto failed = beast::error_code();
-    while (written_ < bytes && !failed) {
-        if (written_ > 0 && hasPendingError(socket.native_handle())) {
-            writing_ = Writing::Failed;
-            return;
-        }
-        written_ += socket.write_some(unwritten(), failed);
-    }
+    while (written_ < bytes && !failed) written_ += socket.write_some(unwritten(), failed);
     if (!failed) return finishWriting();
-    if (failed == asio::error::would_block) return;
-    writing_ = Writing::Failed;
-    writeTookError_ = true;
+    if (failed != asio::error::would_block) writing_ = Writing::Failed;
 }
 
 auto UpstreamRequest::finishWriting() -> void {
@@ -83,30 +74,35 @@
     }
 }
 
-// A server that has answered may read on later, for a limited time. Until then its connection is of no use to
-// another request, which would wait behind the rest of this one.
-auto UpstreamRequest::awaitTaken() -> asio::awaitable<void> {
+// A server that has answered may read on later, for a limited time. False if it does not get all of the
+// request. Until then its connection is of no use to another request, which would wait behind the rest of
+// this one.
+auto UpstreamRequest::awaitTaken() -> asio::awaitable<bool> {
     auto until = bootNow() + ANSWERED_REQUEST_TIMEOUT;
     auto timer = asio::steady_timer(stream_->get_executor());
-    while (!isTaken() && bootNow() < until) {
+    while (isTaking() && bootNow() < until) {
         timer.expires_after(std::chrono::microseconds(ANSWERED_REQUEST_CHECK_PERIOD));
         co_await timer.async_wait(quiet);
     }
-    if (!isTaken()) close();
+    co_return writing_ == Writing::Finished && !isTaking();
 }
 
-// Whether the server's machine has all of the request that it will get.
-auto UpstreamRequest::isTaken() const -> bool {
-    if (writing_ != Writing::Finished) return writing_ == Writing::Failed;
+// Whether some of the request is still on its way to the server's machine.
+auto UpstreamRequest::isTaking() const -> bool {
+    if (writing_ != Writing::Finished) return writing_ == Writing::UnderWay;
     auto queue = sendQueue(stream_->socket().native_handle());
-    return !queue || queue->bytes == 0;
+    return queue && queue->bytes > 0;
 }
 
 auto UpstreamRequest::readAnswer() -> asio::awaitable<Delivery> {
     while (true) {
         auto [failed, count] = co_await stream_->async_read_some(answer_.prepare(READ_BYTES), quiet);
-        if (!failed) answer_.received(count);
-        else answer_.end(endOf(failed));
+        if (!failed) {
+            answer_.received(count);
+        } else {
+            auto end = co_await endOf(failed);
+            answer_.end(end);
+        }
         auto delivery = observer_.onAnswerRead(answer_);
         if (delivery != Delivery::Reading) co_return delivery;
         if (!answer_.streamed()) continue;
@@ -115,12 +111,18 @@
     }
 }
 
-// The system reports a reset once only. If a write got it, a read gets what had arrived and then an end of
-// file, as if the server had ended the connection in order.
-auto UpstreamRequest::endOf(beast::error_code failed) -> ConnectionEnd {
-    // A server that has ended its side takes nothing more.
+// An end of file alone does not show that an answer without a length is whole. The system reports a reset
+// once only: if a write got it, the read gets an end of file. And a server that dies in the middle of its
+// answer may end the connection first and reset it for what comes after. Both happen only to a server that
+// has not taken all of the request.
+auto UpstreamRequest::endOf(beast::error_code failed) -> asio::awaitable<ConnectionEnd> {
+    auto isInOrder = failed == asio::error::eof;
+    if (isInOrder && answer_.endsWithConnection()) {
+        auto hasTaken = co_await awaitTaken();
+        isInOrder = hasTaken && !hasPendingError(stream_->socket().native_handle());
+    }
     close();
-    return failed == asio::error::eof && !writeTookError_ ? ConnectionEnd::Closed : ConnectionEnd::Reset;
+    co_return isInOrder ? ConnectionEnd::Closed : ConnectionEnd::Reset;
 }
 
 auto UpstreamRequest::close() -> void {
--- a/src/daemon/upstream_request.hpp
+++ b/src/daemon/upstream_request.hpp
@@ -55,10 +55,10 @@
     auto writeSome() -> void;
     auto writeRest() -> asio::awaitable<void>;
     auto finishWriting() -> void;
-    auto awaitTaken() -> asio::awaitable<void>;
-    auto isTaken() const -> bool;
+    auto awaitTaken() -> asio::awaitable<bool>;
+    auto isTaking() const -> bool;
     auto readAnswer() -> asio::awaitable<Delivery>;
-    auto endOf(beast::error_code failed) -> ConnectionEnd;
+    auto endOf(beast::error_code failed) -> asio::awaitable<ConnectionEnd>;
     auto close() -> void;
 
     std::shared_ptr<Stream> stream_;
@@ -69,8 +69,7 @@
     AcknowledgementWatch acknowledgements_;
     std::size_t written_ = 0;  // bytes of the head and the body
     Writing writing_ = Writing::UnderWay;
-    bool writeTookError_ = false;  // a write got the connection's error, which no later read will get
-    bool limitLifted_ = false;     // the connection's own limit is off, and checkServer() stands in for it
+    bool limitLifted_ = false;  // the connection's own limit is off, and checkServer() stands in for it
 };
 
 }  // namespace duneturn
--- a/tests/daemon/scripted_server.hpp
+++ b/tests/daemon/scripted_server.hpp
@@ -79,6 +79,14 @@
     }
     /// Ends in order, and is gone. With a part of the request unread the system resets the connection.
     auto close() -> void { socket_.close(); }
+    /// Reads what has come, and is gone: the system ends the connection in order, and resets it for what
+    /// comes after.
+    auto closeWithNothingUnread() -> void {
+        auto failed = beast::error_code();
+        socket_.non_blocking(true);
+        while (!failed) read_ += socket_.read_some(asio::buffer(bytes_), failed);
+        socket_.close();
+    }
     auto reset() -> void {
         socket_.set_option(asio::socket_base::linger(true, 0));
         socket_.close();
