--- a/tests/daemon/answer_reader_test.cpp
+++ b/tests/daemon/answer_reader_test.cpp
@@ -96,6 +96,27 @@
     CHECK_EQ(failed(AttemptEvent::MalformedResponse), readAll("no answer\r\n\r\n", std::nullopt));
 }
 
+// A limit of our own cuts an answer; its connection's end in order does not make it whole.
+TEST(AnswerReader, anAnswerBeyondALimitIsNotWhole) {
+    auto limited = options();
+    limited.bodyLimit = 3;
+    auto failure = failed(AttemptEvent::MalformedResponse);
+    for (auto framing : {"Content-Length: 4\r\n\r\nabcd",
+             "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n", "\r\nabcd"}) {
+        auto reader = AnswerReader(limited);
+        reader.feed(std::string("HTTP/1.1 200 OK\r\n") + framing);
+        reader.end(ConnectionEnd::Closed);
+        auto parts = text(reader);
+        CHECK(parts.ends_with(failure));
+        CHECK(parts.find("whole") == std::string::npos);
+    }
+    limited.headerLimit = 64;
+    auto reader = AnswerReader(limited);
+    reader.feed("HTTP/1.1 200 OK\r\nX-Long: " + std::string(limited.headerLimit, 'x') + "\r\n\r\n");
+    reader.end(ConnectionEnd::Closed);
+    CHECK_EQ(failure, text(reader));
+}
+
 TEST(AnswerReader, skipsInterimAnswersAndRejectsOtherProtocols) {
     CHECK_EQ(std::string("head 200;whole a;"),
         readAll("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\n"
