The soak has long requests, and servers that answer early, pause, crash and reset

Two kinds of clients more: requests of 1 kB to 4.1 MB, plain and stream. Their path asks the server to begin its answer after any part of the request, with a length, in chunks or without, to pause for up to 4.5 s, and to end whole (before or after it reads on), whole with a reset, by a crash, a reset, or with its machine lost. Answers are compared by byte, and so is what a server reads where the body is due.

The rule allows what a server broke off, but neither an answer that looks whole then, nor a loss that is noticed later than 10 s, nor a failure in place of a sound server's answer while the node isn't stopping (3 new LossRule cases; a 502 of a sound server had passed before).

--- a/tests/daemon/scripted_server.hpp
+++ b/tests/daemon/scripted_server.hpp
@@ -5,39 +5,12 @@
 #include <cstddef>
 #include <string>
 
-#include <linux/filter.h>
-#include <sys/socket.h>
-
+#include "daemon/answer_bytes.hpp"
+#include "daemon/lost_machine.hpp"
 #include "net/http.hpp"
 
 namespace duneturn {
 
-/// How an answer tells its length.
-enum class Framing { Length, Chunks, None };
-
-/// An answer's bytes, and where its body may be cut.
-struct AnswerBytes {
-    std::string head, firstHalf, secondHalf;
-};
-
-/// The answer with a body of two halves. A stream's halves are whole events.
-inline auto answerBytes(Framing framing, bool isStream, const std::string& name, const std::string& first,
-    const std::string& second) -> AnswerBytes {
-    auto head = "HTTP/1.1 200 OK\r\nX-Try: " + name
-        + "\r\nContent-Type: " + (isStream ? "text/event-stream" : "text/plain") + "\r\n";
-    auto chunk = [](const std::string& text) {
-        auto size = std::array<char, 16>();
-        std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
-        return size.data() + text + "\r\n";
-    };
-    if (framing == Framing::Length)
-        return {head + "Content-Length: " + std::to_string(first.size() + second.size()) + "\r\n\r\n", first,
-            second};
-    if (framing == Framing::Chunks)
-        return {head + "Transfer-Encoding: chunked\r\n\r\n", chunk(first), chunk(second) + "0\r\n\r\n"};
-    return {head + "\r\n", first, second};
-}
-
 class ScriptedServer {
   public:
     explicit ScriptedServer(asio::io_context& context) : acceptor_(context), socket_(context) {
@@ -97,11 +70,7 @@
         reset();
     }
     /// From now on nothing reaches the server, and nothing is acknowledged: its machine is lost.
-    auto loseMachine() -> void {
-        auto refuse = sock_filter{BPF_RET | BPF_K, 0, 0, 0};
-        auto program = sock_fprog{1, &refuse};
-        ::setsockopt(socket_.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
-    }
+    auto loseMachine() -> void { duneturn::loseMachine(socket_.native_handle()); }
 
   private:
     auto readHead() -> void {
--- a/tests/daemon/upstream_connections_test.cpp
+++ b/tests/daemon/upstream_connections_test.cpp
@@ -89,7 +89,7 @@
     static constexpr auto NAME = "t1";
 
     auto bytes() const -> AnswerBytes {
-        return answerBytes(framing_, isStream_, NAME, FIRST_HALF, SECOND_HALF);
+        return answerBytes(framing_, isStream_, fmt::format("X-Try: {}\r\n", NAME), FIRST_HALF, SECOND_HALF);
     }
 
     const Framing framing_;
--- a/tests/daemon/upstream_request_test.cpp
+++ b/tests/daemon/upstream_request_test.cpp
@@ -25,7 +25,6 @@
 constexpr std::size_t LONG_REQUEST = 4'100'000;
 /// More than the receiver's buffer, less than the sender's.
 constexpr std::size_t BUFFERED_REQUEST = 200'000;
-const auto NAME = std::string("t1");
 const auto FIRST_HALF = std::string("first half,");
 const auto SECOND_HALF = std::string("second half");
 
@@ -54,7 +53,7 @@
     auto awaitStreamRoom() -> asio::awaitable<bool> override { co_return true; }
 
     auto send(Framing framing, bool second) -> void {
-        auto answer = answerBytes(framing, false, NAME, FIRST_HALF, SECOND_HALF);
+        auto answer = answerBytes(framing, false, "", FIRST_HALF, SECOND_HALF);
         server.send(second ? answer.secondHalf : answer.head + answer.firstHalf);
     }
     /// With the checks that the daemon makes; false if it takes longer than `most`.
--- a/tests/platform/soak/clients.cpp
+++ b/tests/platform/soak/clients.cpp
@@ -10,6 +10,7 @@
 
 #include "base/time.hpp"
 #include "net/socket.hpp"
+#include "platform/soak/long_requests.hpp"
 
 namespace duneturn::soak {
 
@@ -41,10 +42,16 @@
     case ClientKind::Plain: return "plain";
     case ClientKind::Pipeline: return "pipeline";
     case ClientKind::Upload: return "upload";
+    case ClientKind::LongPlain: return "long plain";
+    case ClientKind::LongStreams: return "long streams";
     }
     return "";
 }
 
+auto isLong(ClientKind kind) -> bool {
+    return kind == ClientKind::LongPlain || kind == ClientKind::LongStreams;
+}
+
 auto requestText(const std::string& name, const std::string& path, std::size_t bodyBytes) -> std::string {
     return fmt::format(
         "POST {} HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: {}\r\nX-Model: m\r\n"
@@ -60,7 +67,8 @@
 }  // namespace
 
 auto Clients::start(int count) -> void {
-    for (auto kind : {ClientKind::Streams, ClientKind::Plain, ClientKind::Pipeline, ClientKind::Upload})
+    for (auto kind : {ClientKind::Streams, ClientKind::Plain, ClientKind::Pipeline, ClientKind::Upload,
+             ClientKind::LongPlain, ClientKind::LongStreams})
         for (auto i = 0; i < count; i++) asio::co_spawn(context_, run(kind), asio::detached);
 }
 
@@ -100,10 +108,12 @@
     for (auto i = 0; i < count; i++)
         calls.push_back(
             {fmt::format("{:016x}", 0x9c41d07b00000000 + std::uint64_t(++lastNumber_)), drawPath(kind)});
+    if (isLong(kind)) calls.front().bodyBytes = drawRequestBytes(random_);
     return calls;
 }
 
 auto Clients::drawPath(ClientKind kind) -> std::string {
+    if (isLong(kind)) return longPath(drawLongWork(random_, kind == ClientKind::LongStreams));
     if (kind == ClientKind::Pipeline) return plainPath(PIPELINE_WORK);
     if (kind != ClientKind::Streams) return plainPath(between(random_, SHORTEST_PAUSE, LONGEST_PLAIN_WORK));
     auto events = 1 + int(random_.below(MOST_EVENTS));
@@ -115,7 +125,8 @@
     -> asio::awaitable<bool> {
     if (kind == ClientKind::Upload) co_return co_await sendSlowly(connection, calls.front());
     auto text = std::string();
-    for (auto& call : calls) text += requestText(call.name, call.path, 0);
+    for (auto& call : calls)
+        text += requestText(call.name, call.path, call.bodyBytes) + std::string(call.bodyBytes, 'x');
     auto [failed, count] = co_await asio::async_write(connection.stream, asio::buffer(text), quiet);
     for (auto& call : calls) records_.find(call.name)->sentAt = bootNow();
     co_return !failed;
@@ -147,7 +158,10 @@
     record.end = RequestEnd::Answered;
     record.endedAt = bootNow();
     record.status = response.result_int();
-    record.wholeBody = response.body() == answerBody(call.name, readWork(call.path));
+    auto longWork = readLongWork(call.path);
+    auto expected =
+        longWork ? longAnswerBody(call.name, longWork->isStream) : answerBody(call.name, readWork(call.path));
+    record.wholeBody = response.body() == expected;
     records_.finish(call.name, kindName(kind), connection.node);
     connection.usable = response.keep_alive();
 }
--- a/tests/platform/soak/clients.hpp
+++ b/tests/platform/soak/clients.hpp
@@ -16,10 +16,12 @@
 
 /// What a client sends.
 enum class ClientKind {
-    Streams,   ///< Long and short streams.
-    Plain,     ///< Short requests, one after the other.
-    Pipeline,  ///< Several requests in one write.
-    Upload     ///< Requests whose bodies take seconds.
+    Streams,    ///< Long and short streams.
+    Plain,      ///< Short requests, one after the other.
+    Pipeline,   ///< Several requests in one write.
+    Upload,     ///< Requests whose bodies take seconds.
+    LongPlain,  ///< Requests of any length, whose servers end in each way (long_requests.hpp).
+    LongStreams
 };
 
 class Clients {
@@ -37,6 +39,7 @@
   private:
     struct Call {
         std::string name, path;
+        std::size_t bodyBytes = 0;
     };
     /// One connection and what came on it.
     struct Connection {
--- a/tests/platform/soak/loss_rule.cpp
+++ b/tests/platform/soak/loss_rule.cpp
@@ -22,6 +22,11 @@
 /// Statuses that promise that a request has not run and never will.
 constexpr auto PROMISES_NOT_RUN = {408, 421, 429, 503};
 constexpr auto SUCCESS = 200;
+constexpr auto SERVER_FAILURE = 500;
+/// From a server's loss to the end of its request: the longest pause of a server, by which the next probe of
+/// its machine may be away, and then the limit for an acknowledgement (SERVER_UNACKNOWLEDGED_LIMIT) and what
+/// a busy machine needs.
+constexpr Microseconds LOSS_NOTICED = 5 * SECOND + 2 * SECOND + 3 * SECOND;
 
 auto inLastSixth(Microseconds at, const PlannedStopRecord& stop) -> bool {
     auto elapsed = at - stop.signalledAt;
@@ -36,12 +41,24 @@
     return serverAtWork && sentEarly && inLastSixth(request.endedAt, stop);
 }
 
-auto judgeAnswer(const RequestRecord& request) -> std::optional<std::string> {
+// The server broke off; its loss was noticed, or it was not.
+auto judgeBrokenOff(const RequestRecord& request) -> std::optional<std::string> {
+    auto noticedAfter = request.endedAt - request.brokeOffAt;
+    if (noticedAfter <= LOSS_NOTICED) return std::nullopt;
+    return fmt::format("its server was lost, and it ended only {} us later", noticedAfter);
+}
+
+auto judgeAnswer(const RequestRecord& request, const std::optional<PlannedStopRecord>& stop)
+    -> std::optional<std::string> {
     for (auto status : PROMISES_NOT_RUN)
         if (request.status == status && request.runs > 0)
             return fmt::format("status {} promises that it has not run, and a server ran it", status);
     if (request.status == SUCCESS && !request.wholeBody)
         return std::string("its answer looks complete and is not the server's");
+    if (request.brokeOffAt) return judgeBrokenOff(request);
+    auto isStopping = stop && request.endedAt <= stop->signalledAt + stop->grace + AFTER_GRACE;
+    if (request.status >= SERVER_FAILURE && request.runs > 0 && !isStopping)
+        return fmt::format("its server was sound, and its answer has status {}", request.status);
     return std::nullopt;
 }
 
@@ -50,6 +67,7 @@
     if (request.endedAt - request.begunAt >= request.timeLimit) return std::nullopt;
     auto neverPassedOn = request.runs == 0 && request.endedAt - request.sentAt <= LOSS_SLACK;
     if (neverPassedOn) return std::nullopt;
+    if (request.brokeOffAt) return judgeBrokenOff(request);
     if (!stop) return std::string("its connection ended without an answer, and its node was not stopping");
     if (isAllowedCut(request, *stop)) return std::nullopt;
     return fmt::format("sent {} us after the signal, cut {} us after it ({} us of grace), {}",
@@ -80,7 +98,7 @@
 auto judgeRequest(const RequestRecord& request, const std::optional<PlannedStopRecord>& stop)
     -> std::optional<std::string> {
     switch (request.end) {
-    case RequestEnd::Answered: return judgeAnswer(request);
+    case RequestEnd::Answered: return judgeAnswer(request, stop);
     case RequestEnd::Cut: return judgeCut(request, stop);
     case RequestEnd::Unsent: return judgeUnsent(request, stop);
     case RequestEnd::NotReached: return std::nullopt;
--- a/tests/platform/soak/loss_rule.hpp
+++ b/tests/platform/soak/loss_rule.hpp
@@ -1,7 +1,7 @@
 #pragma once
 // The rule that the soak of planned stops judges by: a request that a node has read is answered completely,
-// but for what whoever stops the node allows to be cut. Without input or output; times are microseconds of
-// one clock.
+// but for what whoever stops the node allows to be cut and for answers that their servers break off; and what
+// looks whole is the server's whole answer. Without input or output; times are microseconds of one clock.
 #include <optional>
 #include <string>
 
@@ -29,6 +29,7 @@
     bool wholeBody = false;         ///< The answer is the server's whole answer.
     int runs = 0;                   ///< Servers that began to work on it.
     Microseconds serverDoneAt = 0;  ///< A server had sent its whole answer; 0: none had.
+    Microseconds brokeOffAt = 0;    ///< A server ended its answer early; 0: none did.
 };
 
 /// A planned stop of the node that took a request.
--- a/tests/platform/soak/loss_rule_test.cpp
+++ b/tests/platform/soak/loss_rule_test.cpp
@@ -106,4 +106,44 @@
     CHECK(!isFault(request, 8 * SECOND));
 }
 
+TEST(LossRule, allowsWhatAServerBrokeOffAndNoAnswerThatLooksWhole) {
+    auto request = cutRequest(0, 2 * SECOND);
+    CHECK(judgeRequest(request, std::nullopt).has_value());
+    request.brokeOffAt = SIGNALLED_AT + SECOND;
+    CHECK(!judgeRequest(request, std::nullopt).has_value());
+    request.end = RequestEnd::Answered;
+    request.status = 502;
+    CHECK(!judgeRequest(request, std::nullopt).has_value());
+    request.status = 200;
+    CHECK(judgeRequest(request, std::nullopt).has_value());
+    request.wholeBody = true;
+    CHECK(!judgeRequest(request, std::nullopt).has_value());
+}
+
+// Guards against a lost machine that is never noticed.
+TEST(LossRule, findsALossThatIsNoticedLate) {
+    for (auto end : {RequestEnd::Answered, RequestEnd::Cut}) {
+        auto request = cutRequest(0, 20 * SECOND);
+        request.end = end;
+        request.status = 504;
+        request.brokeOffAt = SIGNALLED_AT + 10 * SECOND;
+        CHECK(!judgeRequest(request, std::nullopt).has_value());
+        request.brokeOffAt -= 1;
+        CHECK(judgeRequest(request, std::nullopt).has_value());
+    }
+}
+
+// Guards against a sound server's answer that ends as a failure, as when a pause passes for a loss.
+TEST(LossRule, findsASoundAnswerThatEndsAsAFailure) {
+    auto request = cutRequest(0, 2 * SECOND);
+    request.end = RequestEnd::Answered;
+    request.status = 502;
+    CHECK(judgeRequest(request, std::nullopt).has_value());
+    CHECK(!isFault(request, 8 * SECOND));
+    request.endedAt = SIGNALLED_AT + 9 * SECOND + 1;
+    CHECK(isFault(request, 8 * SECOND));
+    request.runs = 0;
+    CHECK(!isFault(request, 8 * SECOND));
+}
+
 }  // namespace duneturn::soak
--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -134,9 +134,9 @@
         for (auto& [kind, tally] : records_.tallies()) {
             fmt::print(
                 "  {}: {} answered ({} by stopping nodes), {} refused, {} cut, {} unsent, {} not reached, "
-                "{} not judged\n",
+                "{} broken off by servers, {} not judged\n",
                 kind, tally.answered, tally.inStops, tally.refused, tally.cut, tally.unsent, tally.notReached,
-                tally.notJudged);
+                tally.brokenOff, tally.notJudged);
             exercised = exercised && tally.answered > 0 && tally.inStops > 0;
         }
         fmt::print("seed {}: {} faults\n", options_.seed, records_.faults());
--- a/tests/platform/soak/model_servers.cpp
+++ b/tests/platform/soak/model_servers.cpp
@@ -27,6 +27,11 @@
     return fmt::format("id: {}\ndata: piece {} of {}\n\n", event * EVENT_STRIDE, event, name);
 }
 
+auto identityHeaders(const std::string& name, const std::string& instance) -> std::string {
+    return fmt::format(
+        "X-Attempt-Id: {0}\r\nX-Server-Seal: {1}.{0}\r\nX-Weight-Versions: 1\r\n", name, instance);
+}
+
 auto pauseFor(asio::io_context& context, Microseconds pause) -> asio::awaitable<void> {
     auto timer = asio::steady_timer(context, std::chrono::microseconds(pause));
     co_await timer.async_wait(quiet);
@@ -84,13 +89,34 @@
     auto buffer = beast::flat_buffer();
     auto open = true;
     while (open) {
-        auto request = HttpRequest();
-        auto [failed, count] = co_await http::async_read(socket, buffer, request, quiet);
+        auto parser = http::request_parser<http::string_body>();
+        auto [noHead, headBytes] = co_await http::async_read_header(socket, buffer, parser, quiet);
+        if (noHead) co_return;
+        auto longWork = readLongWork(std::string(parser.get().target()));
+        if (longWork && parser.get()["X-Target-Instance"] == instance) {
+            open = co_await serveLong(socket, buffer, parser, *longWork, instance);
+            continue;
+        }
+        auto [failed, count] = co_await http::async_read(socket, buffer, parser, quiet);
         if (failed) co_return;
+        auto request = parser.release();
         open = co_await answer(socket, request, instance);
     }
 }
 
+auto ModelServers::serveLong(tcp::socket& socket, beast::flat_buffer& buffer,
+    const http::request_parser<http::string_body>& head, const LongWork& work, const std::string& instance)
+    -> asio::awaitable<bool> {
+    auto request = LongRequest();
+    request.name = std::string(head.get()["X-Attempt-Id"]);
+    request.bodyBytes = std::size_t(head.content_length().value_or(0));
+    request.headers = identityHeaders(request.name, instance);
+    request.work = work;
+    if (!records_.find(request.name))
+        records_.recordFault("a server was sent " + request.name + ", which no client waits for");
+    co_return co_await serveLongRequest(socket, buffer, std::move(request), records_);
+}
+
 // `instance` is empty for the list. False if the connection has ended.
 auto ModelServers::answer(tcp::socket& socket, const HttpRequest& request, const std::string& instance)
     -> asio::awaitable<bool> {
@@ -115,9 +141,7 @@
     auto record = records_.find(name);
     if (record) record->runs++;
     else records_.recordFault("a server was sent " + name + ", which no client waits for");
-    auto head = fmt::format(
-        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {0}\r\nX-Server-Seal: {1}.{0}\r\nX-Weight-Versions: 1\r\n", name,
-        instance);
+    auto head = "HTTP/1.1 200 OK\r\n" + identityHeaders(name, instance);
     if (!work.isStream) {
         co_await pauseFor(context_, work.pause);
         auto body = answerBody(name, work);
--- a/tests/platform/soak/model_servers.hpp
+++ b/tests/platform/soak/model_servers.hpp
@@ -1,5 +1,6 @@
 #pragma once
-// Stand-ins of the soak: sound model servers, and the platform's list of them.
+// Stand-ins of the soak: model servers, sound but where a long request asks for something else, and the
+// platform's list of them.
 #include <cstddef>
 #include <string>
 #include <vector>
@@ -7,6 +8,7 @@
 #include "base/time.hpp"
 #include "net/http.hpp"
 #include "platform/soak/deployment.hpp"
+#include "platform/soak/long_requests.hpp"
 #include "platform/soak/records.hpp"
 
 namespace duneturn::soak {
@@ -37,6 +39,9 @@
     auto listen(const std::string& address) -> tcp::acceptor;
     auto acceptCalls(tcp::acceptor acceptor, std::string instance) -> asio::awaitable<void>;
     auto serve(tcp::socket socket, std::string instance) -> asio::awaitable<void>;
+    auto serveLong(tcp::socket& socket, beast::flat_buffer& buffer,
+        const http::request_parser<http::string_body>& head, const LongWork& work,
+        const std::string& instance) -> asio::awaitable<bool>;
     auto answer(tcp::socket& socket, const HttpRequest& request, const std::string& instance)
         -> asio::awaitable<bool>;
     auto writeAnswer(tcp::socket& socket, const HttpRequest& request, const std::string& instance)
--- a/tests/platform/soak/operator_calls.cpp
+++ b/tests/platform/soak/operator_calls.cpp
@@ -57,8 +57,9 @@
 // The routes that carry traffic stay, with another number of tries; others come and go.
 auto OperatorCalls::configuration() const -> std::string {
     auto tries = 1 + version_ % 2;
-    auto routes =
-        route("stream", "stream", tries, version_ % 3 == 0) + "," + route("plain", "effectful", tries, false);
+    auto routes = route("stream", "stream", tries, version_ % 3 == 0) + ","
+        + route("plain", "effectful", tries, false) + "," + route("long-plain", "effectful", tries, false)
+        + "," + route("long-stream", "stream", tries, false);
     for (auto i = 0; i < version_ % (MOST_FURTHER_ROUTES + 1); i++)
         routes += "," + route(fmt::format("further-{}-{}", version_, i), "safe", 1, false);
     return fmt::format(
--- a/tests/platform/soak/records.cpp
+++ b/tests/platform/soak/records.cpp
@@ -38,6 +38,7 @@
     auto succeeded = request.end == RequestEnd::Answered && request.status == SUCCESS;
     tally.answered += succeeded;
     tally.inStops += succeeded && stop && request.endedAt <= stop->signalledAt + stop->grace;
+    tally.brokenOff += request.brokeOffAt > 0;
     tally.refused += request.end == RequestEnd::Answered && !succeeded;
     tally.cut += request.end == RequestEnd::Cut;
     tally.unsent += request.end == RequestEnd::Unsent;
--- a/tests/platform/soak/records.hpp
+++ b/tests/platform/soak/records.hpp
@@ -14,6 +14,7 @@
 /// How many requests of one kind ended how.
 struct Tally {
     int answered = 0, refused = 0, cut = 0, unsent = 0, notReached = 0;
+    int brokenOff = 0;  ///< Whose servers broke off.
     int inStops = 0;    ///< Answered with success by a node that was stopping.
     int notJudged = 0;  ///< Faults that count for nothing, as the machine was in trouble of its own.
 };
