The soak's driver no longer ends by a trap in its long requests

The trap is in code that g++ 12 makes of awaitables returned straight out of a switch (seen only as gone with this change, the generated code was not looked at).

Now each result is a variable first.

--- a/tests/platform/soak/long_requests.cpp
+++ b/tests/platform/soak/long_requests.cpp
@@ -61,35 +61,39 @@
         if (auto record = records_.find(request_.name)) record->runs++;
         if (!co_await write(answer.head + answer.firstHalf)) co_return false;
         co_await pause(work.pause);
-        co_return co_await end(answer.secondHalf);
+        secondHalf_ = answer.secondHalf;
+        auto isOpen = co_await end();
+        co_return isOpen;
     }
 
   private:
     // The rest of the answer, if there is one. False if the connection has ended.
-    auto end(std::string secondHalf) -> asio::awaitable<bool> {
+    auto end() -> asio::awaitable<bool> {
+        auto isOpen = false;
         switch (request_.work.end) {
-        case ServerEnd::Whole: co_return co_await readThenFinish(std::move(secondHalf));
-        case ServerEnd::WholeAtOnce: co_return co_await finishThenRead(std::move(secondHalf));
-        case ServerEnd::WholeThenReset: co_await finishThenReset(std::move(secondHalf)); break;
+        case ServerEnd::Whole: isOpen = co_await readThenFinish(); break;
+        case ServerEnd::WholeAtOnce: isOpen = co_await finishThenRead(); break;
+        case ServerEnd::WholeThenReset: co_await finishThenReset(); break;
         case ServerEnd::Crash: crash(); break;
         case ServerEnd::Reset: breakOffByReset(); break;
         case ServerEnd::LostMachine: co_await lose(); break;
         }
-        co_return false;
+        co_return isOpen;
     }
-    auto readThenFinish(std::string secondHalf) -> asio::awaitable<bool> {
+    auto readThenFinish() -> asio::awaitable<bool> {
         if (!co_await readUntil(request_.bodyBytes)) co_return false;
-        co_return co_await finish(secondHalf);
+        auto isOpen = co_await finish();
+        co_return isOpen;
     }
-    auto finishThenRead(std::string secondHalf) -> asio::awaitable<bool> {
-        auto isOpen = co_await finish(secondHalf);
+    auto finishThenRead() -> asio::awaitable<bool> {
+        auto isOpen = co_await finish();
         auto isRead = co_await readUntil(request_.bodyBytes);
         co_return isOpen&& isRead;
     }
-    auto finishThenReset(std::string secondHalf) -> asio::awaitable<void> {
+    auto finishThenReset() -> asio::awaitable<void> {
         // Without a length the reset makes it a half.
         if (request_.work.framing == Framing::None) breakOff();
-        co_await finish(secondHalf);
+        co_await finish();
         reset();
     }
     auto crash() -> void {
@@ -131,8 +135,8 @@
         co_return !failed;
     }
     // Whether the connection stays open.
-    auto finish(const std::string& secondHalf) -> asio::awaitable<bool> {
-        if (!co_await write(secondHalf)) co_return false;
+    auto finish() -> asio::awaitable<bool> {
+        if (!co_await write(secondHalf_)) co_return false;
         if (auto record = records_.find(request_.name)) record->serverDoneAt = bootNow();
         if (request_.work.framing != Framing::None) co_return true;
         auto ignored = beast::error_code();
@@ -158,6 +162,7 @@
     beast::flat_buffer& buffer_;
     const LongRequest request_;
     Records& records_;
+    std::string secondHalf_;  // of the answer
     std::size_t read_ = 0;
 };
 
