--- a/tests/daemon/upstream_connections_test.cpp
+++ b/tests/daemon/upstream_connections_test.cpp
@@ -1,29 +1,23 @@
 // Ends of servers' connections, by real sockets on loopback: an answer that the client gets as whole is the
 // server's whole answer, for each framing, each end and each length of request.
-#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 #include <vector>
 
 #include <fmt/format.h>
 
 #include "base/time.hpp"
-#include "daemon/client_response.hpp"
-#include "daemon/logic.hpp"
+#include "daemon/edge_on_sockets.hpp"
 #include "daemon/scripted_server.hpp"
 #include "daemon/upstream_connections.hpp"
-#include "daemon/worker_pool.hpp"
-#include "routing/edge_fixture.hpp"
 #include "test.hpp"
 
 namespace duneturn {
 
 namespace {
 
-constexpr auto STEP_TIMEOUT = std::chrono::seconds(10);
 /// Within the sockets' buffers, near them, and far above them.
 const auto REQUEST_BYTES = std::vector<std::size_t>{4, 100'000, 4'100'000};
 /// More than the buffers of both sockets ever hold.
@@ -41,20 +35,12 @@
 };
 
 /// One edge, one server, one request.
-class ServedRequest : public EdgeFixture {
+class ServedRequest : public EdgeOnSockets {
   public:
     ServedRequest(std::size_t requestBytes, Framing framing, bool isStream)
-        : framing_(framing), isStream_(isStream) {
-        now = std::max(now, bootNow());
-        runFor(8 * SECOND);
-        auto members = isStream ? R"(,"MaxTries":1,"deadlineUs":60000000,"stream":true)"
-                                : R"(,"MaxTries":1,"deadlineUs":60000000)";
-        CHECK_EQ(200, orderConfig(configOf(members)));
-        listServers({{"x"}});
-        logic_.node = std::move(node);
-        logic_.edge = std::move(edge);
+        : EdgeOnSockets(isStream), framing_(framing), isStream_(isStream) {
         auto headers = Headers{{"Host", "h.example"}, {"X-Try", NAME}};
-        request_ = logic_.edge->accept("POST", "/a/x", headers, std::string(requestBytes, 'b'), bootNow());
+        request_ = logic.edge->accept("POST", "/a/x", headers, std::string(requestBytes, 'b'), bootNow());
         runUntil([&] { return server.hasHead(); });
     }
 
@@ -81,9 +67,6 @@
         if (replies.count(request_) && replies[request_].status != 200) return ClientEnd::Failed;
         return body == FIRST_HALF + SECOND_HALF ? ClientEnd::Whole : ClientEnd::Partial;
     }
-    auto runUntil(const std::function<bool()>& done) -> void {
-        while (!done()) CHECK(workers_.context().run_one_for(STEP_TIMEOUT) > 0);
-    }
 
   private:
     static constexpr auto NAME = "t1";
@@ -94,14 +77,11 @@
 
     const Framing framing_;
     const bool isStream_;
-    WorkerPool workers_{1};
-    Logic logic_;
-    ClientResponses responses_;
-    UpstreamConnections upstreams_{logic_, workers_, responses_, {true, true}};
+    UpstreamConnections upstreams_{logic, workers, responses, {true, true}};
     std::int64_t request_ = 0;
 
   public:
-    ScriptedServer server{workers_.context()};
+    ScriptedServer server{workers.context()};
 };
 
 /// Plays each kind of answer to each length of request, and compares how the request ends.
