--- a/tests/daemon/edge_on_sockets.hpp
+++ b/tests/daemon/edge_on_sockets.hpp
@@ -14,7 +14,8 @@
 namespace duneturn {
 
 /// With one route, for plain answers or for streams, and one server. The fixture's own time ends with its
-/// construction: from then on `logic` has the node and the edge, and the daemon's parts pass the machine's time.
+/// construction: from then on `logic` has the node and the edge, and the daemon's parts pass the machine's
+/// time.
 class EdgeOnSockets : public EdgeFixture {
   public:
     explicit EdgeOnSockets(bool isStream) {
