A server whose system drops what comes is not one whose machine is lost

Callers would have seen a 502 in place of a sound answer: the system of a server that reads nothing may be so full that it drops a segment its window had allowed. It answers each repetition, but leaves the segment unacknowledged. The repetitions double their distance; once that is above the limit (from 3.3 s on), the time since the last acknowledgement passed 2 s, and the server counted as lost 5.4 s into its pause.

Cause: a segment that is unacknowledged counted as one that is unanswered.

Change: it counts only while it was sent after the peer's last acknowledgement (tcpi_last_data_sent).

Evidence: samples of TCP_INFO of a peer whose buffer was made smaller than its window: from 0.5 to 11.5 s "unacked 1, window 0", last sent and last acknowledged at the same time, up to 4.7 s ago.

--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -52,7 +52,10 @@
     auto failed = ::getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &length);
     auto isOpen = info.tcpi_state == TCP_ESTABLISHED || info.tcpi_state == TCP_CLOSE_WAIT;
     if (failed || !isOpen) return std::nullopt;
-    auto awaits = info.tcpi_unacked > 0 || info.tcpi_probes > 0;
+    // A peer whose buffer is full may drop a segment that its window allowed. It answers each repetition, but
+    // leaves the segment unacknowledged.
+    auto isSegmentUnanswered = info.tcpi_unacked > 0 && info.tcpi_last_data_sent < info.tcpi_last_ack_recv;
+    auto awaits = isSegmentUnanswered || info.tcpi_probes > 0;
     return SendQueue{std::size_t(bytes), awaits, Microseconds(info.tcpi_last_ack_recv) * MILLISECOND};
 }
 
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -25,7 +25,8 @@
 /// The bytes that were written to a connection and that its peer has not acknowledged.
 struct SendQueue {
     std::size_t bytes = 0;
-    /// Segments or probes of a closed window are on their way; else the peer's window is closed.
+    /// A segment, or a probe of a closed window, was sent after the peer's last acknowledgement; else the
+    /// peer's window is closed, and it has answered the last of them.
     bool awaitsAcknowledgement = false;
     Microseconds sinceAcknowledgement = 0;  ///< Since the last one came.
 };
--- a/tests/daemon/scripted_server.hpp
+++ b/tests/daemon/scripted_server.hpp
@@ -14,14 +14,14 @@
 class ScriptedServer {
   public:
     explicit ScriptedServer(asio::io_context& context) : acceptor_(context), socket_(context) {
-        // So small that a long request waits in part at its sender.
-        constexpr auto RECEIVE_BUFFER_BYTES = 16 * 1024;
         acceptor_.open(tcp::v4());
         acceptor_.set_option(asio::socket_base::receive_buffer_size(RECEIVE_BUFFER_BYTES));
         acceptor_.bind({asio::ip::address_v4::loopback(), 0});
         acceptor_.listen();
         acceptor_.async_accept(socket_, [this](beast::error_code failed) {
-            if (!failed) readHead();
+            if (failed) return;
+            isConnected_ = true;
+            readHead();
         });
     }
 
@@ -29,6 +29,7 @@
         return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
     }
     [[nodiscard]] auto endpoint() const -> tcp::endpoint { return acceptor_.local_endpoint(); }
+    [[nodiscard]] auto isConnected() const -> bool { return isConnected_; }
     /// The head of the request has been read.
     [[nodiscard]] auto hasHead() const -> bool { return hasHead_; }
     /// Bytes of the request that have been read.
@@ -45,9 +46,11 @@
             readOn();
         });
     }
+    /// Ends the answer in order and reads nothing more, until it is told to.
+    auto endAnswerUnread() -> void { socket_.shutdown(tcp::socket::shutdown_send); }
     /// Ends the answer in order; the rest of the request is still read.
     auto endAnswer() -> void {
-        socket_.shutdown(tcp::socket::shutdown_send);
+        endAnswerUnread();
         readOn();
     }
     /// Ends in order, and is gone. With a part of the request unread the system resets the connection.
@@ -66,13 +69,22 @@
     }
     /// Ends the answer in order and resets the connection at once, with a part of the request unread.
     auto endAnswerAndReset() -> void {
-        socket_.shutdown(tcp::socket::shutdown_send);
+        endAnswerUnread();
         reset();
     }
+    /// From now on the server's system has less room for unread bytes than its window has promised, and drops
+    /// what exceeds it.
+    auto shrinkBuffer() -> void {
+        constexpr auto SHRUNK_BUFFER_BYTES = 2 * 1024;
+        socket_.set_option(asio::socket_base::receive_buffer_size(SHRUNK_BUFFER_BYTES));
+    }
     /// From now on nothing reaches the server, and nothing is acknowledged: its machine is lost.
     auto loseMachine() -> void { duneturn::loseMachine(socket_.native_handle()); }
 
   private:
+    // So small that a long request waits in part at its sender.
+    static constexpr auto RECEIVE_BUFFER_BYTES = 16 * 1024;
+
     auto readHead() -> void {
         // One byte at a time: nothing of the body.
         socket_.async_read_some(asio::buffer(bytes_, 1), [this](beast::error_code failed, std::size_t) {
@@ -89,7 +101,7 @@
     std::array<char, 64 * 1024> bytes_ = {};
     std::string head_, lastRead_;
     std::size_t read_ = 0;
-    bool hasHead_ = false;
+    bool isConnected_ = false, hasHead_ = false;
 };
 
 }  // namespace duneturn
--- a/tests/daemon/upstream_request_test.cpp
+++ b/tests/daemon/upstream_request_test.cpp
@@ -27,15 +27,23 @@
 constexpr std::size_t LONG_REQUEST = 4'100'000;
 /// More than the receiver's buffer, less than the sender's.
 constexpr std::size_t BUFFERED_REQUEST = 200'000;
+/// More than a shrunk buffer; short, since such a system takes some 20 kB a second.
+constexpr std::size_t DROPPED_REQUEST = 40'000;
 const auto FIRST_HALF = std::string("first half,");
 const auto SECOND_HALF = std::string("second half");
 
+/// What the server's system promises to take, and takes.
+enum class ServerBuffer { Sound, Shrunk };
+
 class RecordedRequest : public UpstreamRequestObserver {
   public:
-    explicit RecordedRequest(std::size_t requestBytes) : server(context_) {
+    explicit RecordedRequest(std::size_t requestBytes, ServerBuffer buffer = ServerBuffer::Sound)
+        : server(context_) {
         auto stream = std::make_shared<beast::tcp_stream>(context_);
         stream->connect(server.endpoint());
         configureSocket(stream->socket().native_handle(), LIMIT);
+        runUntil([&] { return server.isConnected(); });
+        if (buffer == ServerBuffer::Shrunk) server.shrinkBuffer();
         auto request = ServerRequest{"POST /a HTTP/1.1\r\n\r\n", std::string(requestBytes, 'b'), {}};
         request.answer.mayEndByClose = true;
         request_ = std::make_shared<UpstreamRequest>(stream, request, *this, LIMIT);
@@ -63,7 +71,7 @@
         auto until = bootNow() + most;
         while (!done() && bootNow() < until) {
             context_.run_one_for(CHECK_PERIOD);
-            if (isChecked_ && !life) isChecked_ = request_->checkServer(bootNow());
+            if (request_ && isChecked_ && !life) isChecked_ = request_->checkServer(bootNow());
         }
         return done();
     }
@@ -108,6 +116,21 @@
         }
 }
 
+// Guards against the end of a connection whose server's system is so full that it drops what comes: it
+// answers each repetition, and these are further apart than the limit.
+TEST(UpstreamRequest, aServerWhoseSystemDropsWhatComesMayReadOnLate) {
+    auto request = RecordedRequest(DROPPED_REQUEST, ServerBuffer::Shrunk);
+    request.send(Framing::None, false);
+    request.pass(PAUSE);
+    CHECK(!request.failed);
+    request.server.readOn();
+    CHECK(request.runUntil([&] { return request.server.requestBytes() > DROPPED_REQUEST; }));
+    request.send(Framing::None, true);
+    request.server.endAnswer();
+    CHECK(request.runUntil([&] { return request.life.has_value(); }));
+    CHECK_EQ(FIRST_HALF + SECOND_HALF, request.body.value_or(""));
+}
+
 // A lost machine is noticed, also while its server was pausing; what came of its answer is not whole.
 TEST(UpstreamRequest, aLostMachineEndsTheRequest) {
     for (auto requestBytes : {BUFFERED_REQUEST, LONG_REQUEST})
