An ended answer without a length is not whole if its machine is lost behind the end

Callers would have seen a complete half: a server dies when it has read all that came, so that its system ends the connection in order, and then its machine is lost, so that no reset comes for the rest of the request.

Cause: the look for a lost machine closes the connection; the answer that waits for its request to be acknowledged then found no send queue, which is how a system without that information looks, and took the request for acknowledged. The verdict "lost" was passed to the socket only.

Change: a connection that has been closed has not taken its request.

Evidence: UpstreamRequest.anEndedAnswerIsNotWholeIfItsMachineIsLostBeforeItHasTheRequest (200 kB and 4.1 MB) fails without the change, the half is delivered as whole; it passes with it.

--- a/src/daemon/upstream_request.cpp
+++ b/src/daemon/upstream_request.cpp
@@ -39,9 +39,9 @@
     }
     auto delivery = co_await readAnswer();
     if (delivery != Delivery::Whole) close();
-    auto hasTaken = co_await awaitTaken();
-    if (!hasTaken) close();
-    co_return delivery == Delivery::Whole&& hasTaken ? answer_.keepFor() : 0;
+    auto isTaken = co_await awaitTaken();
+    if (!isTaken) close();
+    co_return delivery == Delivery::Whole&& isTaken ? answer_.keepFor() : 0;
 }
 
 auto UpstreamRequest::unwritten() const -> std::array<asio::const_buffer, 2> {
@@ -74,24 +74,26 @@
     }
 }
 
-// A server that has answered may read on later, for a limited time. False if it does not get all of the
-// request. Until then its connection is of no use to another request, which would wait behind the rest of
-// this one.
-auto UpstreamRequest::awaitTaken() -> asio::awaitable<bool> {
+// Waits until the server's machine has all of the request, or `until`. False if it does not get it. Until
+// then the connection is of no use to another request, which would wait behind the rest of this one.
+auto UpstreamRequest::awaitTaken(std::optional<Microseconds> until) -> asio::awaitable<bool> {
     auto until = bootNow() + ANSWERED_REQUEST_TIMEOUT;
     auto timer = asio::steady_timer(stream_->get_executor());
-    while (isTaking() && bootNow() < until) {
+    while (mayStillBeTaken() && bootNow() < until) {
         timer.expires_after(std::chrono::microseconds(ANSWERED_REQUEST_CHECK_PERIOD));
         co_await timer.async_wait(quiet);
     }
-    co_return writing_ == Writing::Finished && !isTaking();
+    co_return isTaken();
 }
 
-// Whether some of the request is still on its way to the server's machine.
-auto UpstreamRequest::isTaking() const -> bool {
-    if (writing_ != Writing::Finished) return writing_ == Writing::UnderWay;
+auto UpstreamRequest::isTaken() const -> bool {
+    if (writing_ != Writing::Finished || !stream_->socket().is_open()) return false;
     auto queue = sendQueue(stream_->socket().native_handle());
-    return queue && queue->bytes > 0;
+    return !queue || queue->bytes == 0;
+}
+
+auto UpstreamRequest::mayStillBeTaken() const -> bool {
+    return writing_ != Writing::Failed && stream_->socket().is_open() && !isTaken();
 }
 
 auto UpstreamRequest::readAnswer() -> asio::awaitable<Delivery> {
--- a/src/daemon/upstream_request.hpp
+++ b/src/daemon/upstream_request.hpp
@@ -56,7 +56,8 @@
     auto writeRest() -> asio::awaitable<void>;
     auto finishWriting() -> void;
     auto awaitTaken() -> asio::awaitable<bool>;
-    auto isTaking() const -> bool;
+    auto isTaken() const -> bool;
+    auto mayStillBeTaken() const -> bool;
     auto readAnswer() -> asio::awaitable<Delivery>;
     auto endOf(beast::error_code failed) -> asio::awaitable<ConnectionEnd>;
     auto close() -> void;
--- a/tests/daemon/upstream_request_test.cpp
+++ b/tests/daemon/upstream_request_test.cpp
@@ -23,6 +23,8 @@
 /// Until a lost machine must have been noticed: after a pause the next probe may be as far away as the pause
 /// was long, and then the limit passes; the rest is for a busy machine.
 constexpr Microseconds NOTICED = PAUSE + LIMIT + 2 * SECOND;
+/// Several checks.
+constexpr Microseconds CHECKED = 200 * MILLISECOND;
 constexpr auto CHECK_PERIOD = std::chrono::milliseconds(30);
 constexpr std::size_t LONG_REQUEST = 4'100'000;
 /// More than the receiver's buffer, less than the sender's.
@@ -131,6 +133,21 @@
     CHECK_EQ(FIRST_HALF + SECOND_HALF, request.body.value_or(""));
 }
 
+// Guards against a half of an answer that passes for all of it because its server's machine is lost after the
+// end of the connection, with a part of the request on its way.
+TEST(UpstreamRequest, anEndedAnswerIsNotWholeIfItsMachineIsLostBeforeItHasTheRequest) {
+    for (auto requestBytes : {BUFFERED_REQUEST, LONG_REQUEST}) {
+        auto request = RecordedRequest(requestBytes);
+        request.send(Framing::None, false);
+        request.server.endAnswerUnread();
+        request.pass(CHECKED);
+        request.server.loseMachine();
+        CHECK(request.runUntil([&] { return request.life.has_value(); }, NOTICED));
+        CHECK(!request.body);
+        CHECK(request.failed == AttemptEvent::ConnectionReset);
+    }
+}
+
 // A lost machine is noticed, also while its server was pausing; what came of its answer is not whole.
 TEST(UpstreamRequest, aLostMachineEndsTheRequest) {
     for (auto requestBytes : {BUFFERED_REQUEST, LONG_REQUEST})
