An ended answer without a length waits for its server to read on until the deadline

Cause: the limit for a server that has answered to take the rest of its request also ended the wait that decides whether such an answer is whole.

Change: that wait has no limit of its own. The edge drops the attempt at the request's deadline, and a lost machine ends it as before. The limit stays for what comes behind a whole answer.

--- a/src/daemon/upstream_request.cpp
+++ b/src/daemon/upstream_request.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <exception>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "base/time.hpp"
@@ -39,7 +40,7 @@
     }
     auto delivery = co_await readAnswer();
     if (delivery != Delivery::Whole) close();
-    auto isTaken = co_await awaitTaken();
+    auto isTaken = co_await awaitTaken(bootNow() + ANSWERED_REQUEST_TIMEOUT);
     if (!isTaken) close();
     co_return delivery == Delivery::Whole&& isTaken ? answer_.keepFor() : 0;
 }
@@ -77,9 +78,8 @@
 // Waits until the server's machine has all of the request, or `until`. False if it does not get it. Until
 // then the connection is of no use to another request, which would wait behind the rest of this one.
 auto UpstreamRequest::awaitTaken(std::optional<Microseconds> until) -> asio::awaitable<bool> {
-    auto until = bootNow() + ANSWERED_REQUEST_TIMEOUT;
     auto timer = asio::steady_timer(stream_->get_executor());
-    while (mayStillBeTaken() && bootNow() < until) {
+    while (mayStillBeTaken() && (!until || bootNow() < *until)) {
         timer.expires_after(std::chrono::microseconds(ANSWERED_REQUEST_CHECK_PERIOD));
         co_await timer.async_wait(quiet);
     }
@@ -116,11 +116,11 @@
 // An end of file alone does not show that an answer without a length is whole. The system reports a reset
 // once only: if a write got it, the read gets an end of file. And a server that dies in the middle of its
 // answer may end the connection first and reset it for what comes after. Both happen only to a server that
-// has not taken all of the request.
+// has not taken all of the request. It may read on at any time: the edge drops the attempt at its deadline.
 auto UpstreamRequest::endOf(beast::error_code failed) -> asio::awaitable<ConnectionEnd> {
     auto isInOrder = failed == asio::error::eof;
     if (isInOrder && answer_.endsWithConnection()) {
-        auto hasTaken = co_await awaitTaken();
+        auto hasTaken = co_await awaitTaken(std::nullopt);
         isInOrder = hasTaken && !hasPendingError(stream_->socket().native_handle());
     }
     close();
--- a/src/daemon/upstream_request.hpp
+++ b/src/daemon/upstream_request.hpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/time.hpp"
@@ -55,7 +56,7 @@
     auto writeSome() -> void;
     auto writeRest() -> asio::awaitable<void>;
     auto finishWriting() -> void;
-    auto awaitTaken() -> asio::awaitable<bool>;
+    auto awaitTaken(std::optional<Microseconds> until) -> asio::awaitable<bool>;
     auto isTaken() const -> bool;
     auto mayStillBeTaken() const -> bool;
     auto readAnswer() -> asio::awaitable<Delivery>;
--- a/tests/daemon/upstream_request_test.cpp
+++ b/tests/daemon/upstream_request_test.cpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/time.hpp"
+#include "daemon/limits.hpp"
 #include "daemon/scripted_server.hpp"
 #include "daemon/upstream_request.hpp"
 #include "net/socket.hpp"
@@ -148,6 +149,21 @@
     }
 }
 
+// Guards against a failure in place of an answer whose end came long before its server reads on: how long
+// that may take is the edge's decision.
+TEST(UpstreamRequest, anEndedAnswerWaitsForItsServerToReadOn) {
+    auto request = RecordedRequest(BUFFERED_REQUEST);
+    request.send(Framing::None, false);
+    request.send(Framing::None, true);
+    request.server.endAnswerUnread();
+    request.pass(ANSWERED_REQUEST_TIMEOUT + SECOND);
+    CHECK(!request.failed);
+    CHECK(!request.body);
+    request.server.readOn();
+    CHECK(request.runUntil([&] { return request.life.has_value(); }));
+    CHECK_EQ(FIRST_HALF + SECOND_HALF, request.body.value_or(""));
+}
+
 // A lost machine is noticed, also while its server was pausing; what came of its answer is not whole.
 TEST(UpstreamRequest, aLostMachineEndsTheRequest) {
     for (auto requestBytes : {BUFFERED_REQUEST, LONG_REQUEST})
