A kept connection has its limit for acknowledgements again

While a server pauses, checks stand in for TCP_USER_TIMEOUT, which is set to 0. It was set back only if a check came between the last acknowledgement and the request's end, so that a kept connection could go on without it. Seen on reading; no caller is known to have met it, since the checks of the next request begin anew. No test: which of the two comes first is the scheduler's choice.

--- a/src/daemon/upstream_request.cpp
+++ b/src/daemon/upstream_request.cpp
@@ -41,7 +41,8 @@
     auto delivery = co_await readAnswer();
     if (delivery != Delivery::Whole) close();
     auto isTaken = co_await awaitTaken(bootNow() + ANSWERED_REQUEST_TIMEOUT);
-    if (!isTaken) close();
+    if (isTaken) restoreLimit();
+    else close();
     co_return delivery == Delivery::Whole&& isTaken ? answer_.keepFor() : 0;
 }
 
@@ -141,7 +142,7 @@
     switch (acknowledgements_.observe(*queue, now)) {
     case AcknowledgementWatch::Verdict::Acknowledged:
         if (writing_ == Writing::UnderWay) return true;
-        if (limitLifted_) setUnacknowledgedLimit(descriptor, unacknowledgedLimit_);
+        restoreLimit();
         return false;
     case AcknowledgementWatch::Verdict::Waiting:
         if (!limitLifted_) setUnacknowledgedLimit(descriptor, 0);
@@ -152,4 +153,11 @@
     return false;
 }
 
+// The connection may be kept for another request, which begins with the limit.
+auto UpstreamRequest::restoreLimit() -> void {
+    if (!limitLifted_) return;
+    setUnacknowledgedLimit(stream_->socket().native_handle(), unacknowledgedLimit_);
+    limitLifted_ = false;
+}
+
 }  // namespace duneturn
--- a/src/daemon/upstream_request.hpp
+++ b/src/daemon/upstream_request.hpp
@@ -61,6 +61,7 @@
     auto mayStillBeTaken() const -> bool;
     auto readAnswer() -> asio::awaitable<Delivery>;
     auto endOf(beast::error_code failed) -> asio::awaitable<ConnectionEnd>;
+    auto restoreLimit() -> void;
     auto close() -> void;
 
     std::shared_ptr<Stream> stream_;
