--- a/tests/platform/soak/loss_rule.cpp
+++ b/tests/platform/soak/loss_rule.cpp
@@ -65,6 +65,13 @@
     return std::nullopt;
 }
 
+// How far the servers of a request had come, for the line of its fault.
+auto serverProgress(const RequestRecord& request, const PlannedStopRecord& stop) -> std::string {
+    if (request.runs == 0) return "passed on to no server";
+    if (!request.serverDoneAt) return "its server at work";
+    return fmt::format("its server done {} us after the signal", request.serverDoneAt - stop.signalledAt);
+}
+
 auto judgeCut(const RequestRecord& request, const std::optional<PlannedStopRecord>& stop)
     -> std::optional<std::string> {
     if (request.endedAt - request.begunAt >= request.timeLimit) return std::nullopt;
@@ -75,7 +82,7 @@
     if (isAllowedCut(request, *stop)) return std::nullopt;
     return fmt::format("sent {} us after the signal, cut {} us after it ({} us of grace), {}",
         request.begunAt - stop->signalledAt, request.endedAt - stop->signalledAt, stop->grace,
-        request.runs > 0 ? "passed on to a server" : "passed on to no server");
+        serverProgress(request, *stop));
 }
 
 // A request that was still being sent is no loss by the rule; that its node did not wait for it is a fault as
