Tests: an answer that is half there at its deadline or an event too long is not whole

Each framing; at the deadline plain and stream, three lengths of request, and an ended answer whose server has still to read the request.

--- a/tests/daemon/answer_reader_test.cpp
+++ b/tests/daemon/answer_reader_test.cpp
@@ -117,6 +117,21 @@
     CHECK_EQ(failure, text(reader));
 }
 
+// The same of a stream with an event that is too long.
+TEST(AnswerReader, aStreamWithAnEventBeyondTheLimitIsNotWhole) {
+    constexpr auto BEYOND_EVENT_LIMIT = std::size_t(256) * 1024 + 1;
+    auto event = "data: " + std::string(BEYOND_EVENT_LIMIT, 'x');
+    auto head = std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
+    auto chunk = fmt::format("{:x}\r\n{}\r\n", event.size(), event);
+    for (auto& framed : {fmt::format("Content-Length: {}\r\n\r\n{}", event.size(), event),
+             "Transfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n", "\r\n" + event}) {
+        auto reader = AnswerReader(options());
+        reader.feed(head + framed);
+        reader.end(ConnectionEnd::Closed);
+        CHECK_EQ("head 200;" + failed(AttemptEvent::MalformedResponse), text(reader));
+    }
+}
+
 TEST(AnswerReader, skipsInterimAnswersAndRejectsOtherProtocols) {
     CHECK_EQ(std::string("head 200;whole a;"),
         readAll("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\n"
--- a/tests/daemon/edge_on_sockets.hpp
+++ b/tests/daemon/edge_on_sockets.hpp
@@ -5,6 +5,8 @@
 #include <functional>
 #include <string>
 
+#include <fmt/format.h>
+
 #include "base/time.hpp"
 #include "daemon/client_response.hpp"
 #include "daemon/logic.hpp"
@@ -21,7 +23,7 @@
     explicit EdgeOnSockets(bool isStream) {
         now = std::max(now, bootNow());
         runFor(8 * SECOND);
-        auto members = std::string(R"(,"MaxTries":1,"deadlineUs":60000000)");
+        auto members = fmt::format(R"(,"MaxTries":1,"deadlineUs":{})", REQUEST_DEADLINE);
         if (isStream) members += R"(,"stream":true)";
         CHECK_EQ(200, orderConfig(configOf(members)));
         listServers({{"x"}});
@@ -29,6 +31,8 @@
         logic.edge = std::move(edge);
     }
 
+    static constexpr Microseconds REQUEST_DEADLINE = 60 * SECOND;
+
     /// Runs the connections until `done`, or fails.
     auto runUntil(const std::function<bool()>& done) -> void {
         constexpr auto STEP_TIMEOUT = std::chrono::seconds(10);
--- a/tests/daemon/upstream_connections_test.cpp
+++ b/tests/daemon/upstream_connections_test.cpp
@@ -56,6 +56,11 @@
         auto answer = bytes();
         server.send(answer.head + answer.firstHalf);
     }
+    auto awaitFirstEvent() -> void {
+        runUntil([&] { return !isStream_ || parts[request_] == FIRST_HALF; });
+    }
+    /// Lets the edge's time come to the request's deadline.
+    auto passDeadline() -> void { logic.edge->tick(bootNow() + REQUEST_DEADLINE); }
     auto sendSecondHalf() -> void { server.send(bytes().secondHalf); }
     auto awaitEnd() -> ClientEnd {
         auto hasEnded = [&] {
@@ -171,6 +176,25 @@
     }
 }
 
+// The request's deadline ends an answer that is half there, also one whose connection has ended while its
+// server has still to read the request.
+TEST(UpstreamConnections, anAnswerThatIsHalfThereAtTheDeadlineIsNotWhole) {
+    auto play = [](ServedRequest& request) {
+        request.sendHalf();
+        request.awaitFirstEvent();
+        request.passDeadline();
+    };
+    checkEach(play, neverWhole);
+    for (auto isStream : {false, true}) {
+        auto request = ServedRequest(REQUEST_BYTES.back(), Framing::None, isStream);
+        request.sendHalf();
+        request.awaitFirstEvent();
+        request.server.endAnswerUnread();
+        request.passDeadline();
+        CHECK_EQ(int(neverWhole(0, Framing::None, isStream)), int(request.awaitEnd()));
+    }
+}
+
 // Guards against an answer that is held back until the server has read a long request.
 TEST(UpstreamConnections, anAnswerIsPassedOnBeforeTheRequestIsRead) {
     for (auto framing : {Framing::Length, Framing::Chunks}) {
