The soak has pauses of up to 12 s, and servers that pause again behind their answer

A tenth of the pauses is 4.5 to 12 s now, and WholeThenPause ends the answer, pauses again and reads on; without a length such a server is done when it has read its request, for until then nobody can know that its answer is whole.

The time in which a lost server must be noticed was that of the longest pause for all (10 s); now it is 5 s beyond the pause of the server itself, which is shorter for most and the same at 5 s. LossRule checks both.

--- a/tests/platform/soak/long_requests.cpp
+++ b/tests/platform/soak/long_requests.cpp
@@ -21,14 +21,17 @@
 constexpr auto ALL_PERCENT = 100;
 constexpr std::size_t REQUEST_BYTES[] = {1'000, 60'000, 400'000, 1'500'000, 4'100'000};
 constexpr Framing FRAMINGS[] = {Framing::Length, Framing::Chunks, Framing::None};
-constexpr ServerEnd ENDS[] = {ServerEnd::Whole, ServerEnd::WholeAtOnce, ServerEnd::WholeThenReset,
-    ServerEnd::Crash, ServerEnd::Reset, ServerEnd::LostMachine};
+constexpr ServerEnd ENDS[] = {ServerEnd::Whole, ServerEnd::WholeAtOnce, ServerEnd::WholeThenPause,
+    ServerEnd::WholeThenReset, ServerEnd::Crash, ServerEnd::Reset, ServerEnd::LostMachine};
 // Probabilities.
 constexpr auto WHOLE = 0.5;
 constexpr auto LONG_PAUSE = 0.4;
+constexpr auto VERY_LONG_PAUSE = 0.1;
 constexpr Microseconds MOST_SHORT_PAUSE = 300 * MILLISECOND;
 constexpr Microseconds LEAST_LONG_PAUSE = 1500 * MILLISECOND;
 constexpr Microseconds MOST_LONG_PAUSE = 4500 * MILLISECOND;
+/// Also beyond the time for which an answered request is still written.
+constexpr Microseconds MOST_VERY_LONG_PAUSE = 12 * SECOND;
 /// Beyond the client's and the route's time limits.
 constexpr Microseconds LOST_FOR = 25 * SECOND;
 constexpr auto EVENTS_PER_HALF = 5;
@@ -46,6 +49,15 @@
     return text;
 }
 
+auto drawPause(RandomSource& random) -> Microseconds {
+    auto within = [&](Microseconds least, Microseconds most) {
+        return least + Microseconds(random.below(std::uint64_t(most - least)));
+    };
+    if (random.chance(VERY_LONG_PAUSE)) return within(MOST_LONG_PAUSE, MOST_VERY_LONG_PAUSE);
+    if (random.chance(LONG_PAUSE)) return within(LEAST_LONG_PAUSE, MOST_LONG_PAUSE);
+    return within(0, MOST_SHORT_PAUSE);
+}
+
 /// The server's side of one connection while it has a long request.
 class LongService {
   public:
@@ -73,6 +85,7 @@
         switch (request_.work.end) {
         case ServerEnd::Whole: isOpen = co_await readThenFinish(); break;
         case ServerEnd::WholeAtOnce: isOpen = co_await finishThenRead(); break;
+        case ServerEnd::WholeThenPause: isOpen = co_await finishThenPause(); break;
         case ServerEnd::WholeThenReset: co_await finishThenReset(); break;
         case ServerEnd::Crash: crash(); break;
         case ServerEnd::Reset: breakOffByReset(); break;
@@ -90,6 +103,16 @@
         auto isRead = co_await readUntil(request_.bodyBytes);
         co_return isOpen&& isRead;
     }
+    auto finishThenPause() -> asio::awaitable<bool> {
+        auto isOpen = co_await sendSecondHalf();
+        // Without a length the answer is not whole before its request has been read.
+        auto endsWithConnection = request_.work.framing == Framing::None;
+        if (isOpen && !endsWithConnection) recordDone();
+        co_await pause(request_.work.pause);
+        auto isRead = co_await readUntil(request_.bodyBytes);
+        if (isRead && endsWithConnection) recordDone();
+        co_return isOpen&& isRead && !endsWithConnection;
+    }
     auto finishThenReset() -> asio::awaitable<void> {
         // Without a length the reset makes it a half.
         if (request_.work.framing == Framing::None) breakOff();
@@ -136,15 +159,26 @@
     }
     // Whether the connection stays open.
     auto finish() -> asio::awaitable<bool> {
-        if (!co_await write(secondHalf_)) co_return false;
-        if (auto record = records_.find(request_.name)) record->serverDoneAt = bootNow();
-        if (request_.work.framing != Framing::None) co_return true;
+        auto isOpen = co_await sendSecondHalf();
+        if (isOpen) recordDone();
+        co_return isOpen&& request_.work.framing != Framing::None;
+    }
+    // False if the connection has ended. Without a length its end is the answer's.
+    auto sendSecondHalf() -> asio::awaitable<bool> {
+        auto isOpen = co_await write(secondHalf_);
         auto ignored = beast::error_code();
-        socket_.shutdown(tcp::socket::shutdown_send, ignored);
-        co_return false;
+        if (isOpen && request_.work.framing == Framing::None)
+            socket_.shutdown(tcp::socket::shutdown_send, ignored);
+        co_return isOpen;
+    }
+    auto recordDone() -> void {
+        if (auto record = records_.find(request_.name)) record->serverDoneAt = bootNow();
     }
     auto breakOff() -> void {
-        if (auto record = records_.find(request_.name)) record->brokeOffAt = bootNow();
+        auto record = records_.find(request_.name);
+        if (!record) return;
+        record->brokeOffAt = bootNow();
+        record->serverPause = request_.work.pause;
     }
     auto reset() -> void {
         auto ignored = beast::error_code();
@@ -173,10 +207,7 @@
     work.isStream = isStream;
     work.framing = FRAMINGS[random.below(std::size(FRAMINGS))];
     work.readPercent = int(random.below(ALL_PERCENT + 1));
-    auto isLong = random.chance(LONG_PAUSE);
-    auto least = isLong ? LEAST_LONG_PAUSE : 0;
-    auto most = isLong ? MOST_LONG_PAUSE : MOST_SHORT_PAUSE;
-    work.pause = least + Microseconds(random.below(std::uint64_t(most - least)));
+    work.pause = drawPause(random);
     work.end = random.chance(WHOLE) ? ServerEnd::Whole : ENDS[random.below(std::size(ENDS))];
     // A crash behind the whole request ends the connection in order: nothing shows that it is a half.
     auto isUnnoticeable = work.framing == Framing::None && work.readPercent == ALL_PERCENT;
--- a/tests/platform/soak/long_requests.hpp
+++ b/tests/platform/soak/long_requests.hpp
@@ -17,6 +17,7 @@
 enum class ServerEnd {
     Whole,           ///< It reads the rest of the request, then sends the second half.
     WholeAtOnce,     ///< It sends the second half, then reads the rest of the request.
+    WholeThenPause,  ///< It sends the second half, pauses once more, then reads the rest of the request.
     WholeThenReset,  ///< It sends the second half and resets the connection.
     Crash,           ///< It closes the connection behind the first half.
     Reset,           ///< It resets the connection behind the first half.
@@ -28,7 +29,7 @@
     bool isStream = false;
     Framing framing = Framing::Length;
     int readPercent = 0;     ///< Of the request, before the answer begins.
-    Microseconds pause = 0;  ///< Between the first half of the answer and what follows.
+    Microseconds pause = 0;  ///< Between the halves of the answer, and before it reads on at WholeThenPause.
     ServerEnd end = ServerEnd::Whole;
 };
 
--- a/tests/platform/soak/loss_rule.cpp
+++ b/tests/platform/soak/loss_rule.cpp
@@ -25,10 +25,10 @@
 constexpr auto PROMISES_NOT_RUN = {408, 421, 429, 503};
 constexpr auto SUCCESS = 200;
 constexpr auto SERVER_FAILURE = 500;
-/// From a server's loss to the end of its request: the longest pause of a server, by which the next probe of
-/// its machine may be away, and then the limit for an acknowledgement (SERVER_UNACKNOWLEDGED_LIMIT) and what
-/// a busy machine needs.
-constexpr Microseconds LOSS_NOTICED = 5 * SECOND + 2 * SECOND + 3 * SECOND;
+/// From a server's loss to the end of its request, beside the pause that went before, by which the next probe
+/// of its machine may be away: the limit for an acknowledgement (SERVER_UNACKNOWLEDGED_LIMIT), and what a
+/// busy machine needs.
+constexpr Microseconds LOSS_NOTICED = 2 * SECOND + 3 * SECOND;
 
 auto inLastSixth(Microseconds at, const PlannedStopRecord& stop) -> bool {
     auto elapsed = at - stop.signalledAt;
@@ -46,7 +46,7 @@
 // The server broke off; its loss was noticed, or it was not.
 auto judgeBrokenOff(const RequestRecord& request) -> std::optional<std::string> {
     auto noticedAfter = request.endedAt - request.brokeOffAt;
-    if (noticedAfter <= LOSS_NOTICED) return std::nullopt;
+    if (noticedAfter <= request.serverPause + LOSS_NOTICED) return std::nullopt;
     return fmt::format("its server was lost, and it ended only {} us later", noticedAfter);
 }
 
--- a/tests/platform/soak/loss_rule.hpp
+++ b/tests/platform/soak/loss_rule.hpp
@@ -30,6 +30,7 @@
     int runs = 0;                   ///< Servers that began to work on it.
     Microseconds serverDoneAt = 0;  ///< A server had sent its whole answer; 0: none had.
     Microseconds brokeOffAt = 0;    ///< A server ended its answer early; 0: none did.
+    Microseconds serverPause = 0;   ///< For which that server had read nothing before it broke off.
 };
 
 /// A planned stop of the node that took a request.
--- a/tests/platform/soak/loss_rule_test.cpp
+++ b/tests/platform/soak/loss_rule_test.cpp
@@ -122,15 +122,17 @@
 
 // Guards against a lost machine that is never noticed.
 TEST(LossRule, findsALossThatIsNoticedLate) {
-    for (auto end : {RequestEnd::Answered, RequestEnd::Cut}) {
-        auto request = cutRequest(0, 20 * SECOND);
-        request.end = end;
-        request.status = 504;
-        request.brokeOffAt = SIGNALLED_AT + 10 * SECOND;
-        CHECK(!judgeRequest(request, std::nullopt).has_value());
-        request.brokeOffAt -= 1;
-        CHECK(judgeRequest(request, std::nullopt).has_value());
-    }
+    for (auto end : {RequestEnd::Answered, RequestEnd::Cut})
+        for (auto pause : {Microseconds(0), 5 * SECOND}) {
+            auto request = cutRequest(0, 20 * SECOND);
+            request.end = end;
+            request.status = 504;
+            request.serverPause = pause;
+            request.brokeOffAt = SIGNALLED_AT + 15 * SECOND - pause;
+            CHECK(!judgeRequest(request, std::nullopt).has_value());
+            request.brokeOffAt -= 1;
+            CHECK(judgeRequest(request, std::nullopt).has_value());
+        }
 }
 
 // Guards against a sound server's answer that ends as a failure, as when a pause passes for a loss.
