--- a/tests/consensus/consensus_fixture.hpp
+++ b/tests/consensus/consensus_fixture.hpp
@@ -182,6 +182,8 @@
         }
         return leaderDisk;
     }
+    /// A voter beside the leader, of a cluster that was founded with "a", "b" and "c".
+    auto follower() -> std::string { return leader() == "c" ? "b" : "c"; }
     /// Isolates other leaders until `disk` is the leader.
     auto lead(const std::string& disk) -> void {
         for (auto attempts = 0; attempts < 50 && leader() != disk; attempts++) {
--- a/tests/consensus/consensus_membership_test.cpp
+++ b/tests/consensus/consensus_membership_test.cpp
@@ -125,7 +125,7 @@
     auto replacement = Replacement();
     auto& cluster = replacement.cluster;
     auto leader = cluster.leader();
-    auto lost = leader == "c" ? std::string("b") : std::string("c");
+    auto lost = cluster.follower();
     cluster.lose(lost);
     replacement.runUntilJoint(lost);
     CHECK(cluster.at(leader).voters().size() == 3 && cluster.at(leader).outgoingVoters().size() == 3);
@@ -145,7 +145,7 @@
     auto replacement = Replacement();
     auto& cluster = replacement.cluster;
     auto leader = cluster.leader();
-    auto lost = leader == "c" ? std::string("b") : std::string("c");
+    auto lost = cluster.follower();
     cluster.lose(lost);
     replacement.runUntilJoint(lost);
     cluster.lose("d");
@@ -164,7 +164,7 @@
     auto replacement = Replacement();
     auto& cluster = replacement.cluster;
     auto leader = cluster.leader();
-    auto replaced = leader == "c" ? std::string("b") : std::string("c");
+    auto replaced = cluster.follower();
     replacement.runUntilJoint(replaced);
     // The others receive the joint configuration, but their replies do not reach the leader.
     for (auto& [disk, member] : cluster.members) cluster.partitioned.insert({disk, leader});
@@ -184,7 +184,7 @@
     cluster.broken = broken;
     cluster.bootstrap({"a", "b", "c"});
     auto leader = cluster.leader();
-    auto replaced = leader == "c" ? std::string("b") : std::string("c");
+    auto replaced = cluster.follower();
     cluster.add("d");
     cluster.spares = {{"s-" + replaced, "d"}};
     CHECK(cluster.until([&] { return cluster.at(leader).joint(); }, 10 * SECOND));
@@ -208,7 +208,7 @@
     auto replacement = Replacement();
     auto& cluster = replacement.cluster;
     auto leader = cluster.leader();
-    auto lost = leader == "c" ? std::string("b") : std::string("c");
+    auto lost = cluster.follower();
     auto proposeFor = [&](Microseconds duration) {
         for (auto end = cluster.now + duration; cluster.now < end;) {
             cluster.at(leader).propose(ENTRY_NOOP, std::string(20'000, 'x'), cluster.now);
@@ -270,7 +270,7 @@
     auto replacement = Replacement();
     auto& cluster = replacement.cluster;
     auto leader = cluster.leader();
-    auto lost = leader == "c" ? std::string("b") : std::string("c");
+    auto lost = cluster.follower();
     cluster.lose(lost);
     cluster.drop = [](const std::string&, wire::Envelope& message) {
         message.appendEntriesReply.knowsJoint = false;
--- a/tests/consensus/consensus_snapshot_test.cpp
+++ b/tests/consensus/consensus_snapshot_test.cpp
@@ -25,7 +25,7 @@
     explicit LaggingVoter(std::size_t size) {
         cluster.bootstrap({"a", "b", "c"}, std::string(size, 'x'));
         leader = cluster.leader();
-        lagging = leader == "c" ? "b" : "c";
+        lagging = cluster.follower();
         cluster.stop(lagging);
         for (auto i = 0; i < 700; i++) {
             cluster.propose(leader, fmt::format("z{}", i % 9));
@@ -76,7 +76,7 @@
 TEST(ConsensusSnapshot, slightlyLaggingVoterReceivesEntries) {
     auto cluster = ConsensusFixture();
     cluster.bootstrap({"a", "b", "c"}, std::string(MEGABYTE, 'x'));
-    auto leader = cluster.leader(), lagging = std::string(leader == "c" ? "b" : "c");
+    auto leader = cluster.leader(), lagging = cluster.follower();
     for (auto i = 0; i < 250; i++) {
         cluster.propose(leader, "z");
         cluster.step();
@@ -115,7 +115,7 @@
 TEST(ConsensusSnapshot, batchesAreBoundedAndSentOnce) {
     auto cluster = ConsensusFixture();
     cluster.bootstrap({"a", "b", "c"});
-    auto leader = cluster.leader(), lagging = std::string(leader == "c" ? "b" : "c");
+    auto leader = cluster.leader(), lagging = cluster.follower();
     cluster.bitsPerSecond[lagging] = SLOW_LINK;
     cluster.stop(lagging);
     for (auto i = 0; i < 90; i++) {
