The soak finds answers that stay on their way, and its servers end each resumed stream

Cause, in the soak itself: a stream that the node moves at its last event (its gap was over 5 times the median) is asked for behind that event, and the stand-in then counted itself as done without a byte, not even a head. The node waited for its answer until its stop cut it, as the rule allows for a server at work; without a stop the time limit hid it. Shown: asked behind its last event, the stand-in sends no byte in 3 s; now it sends the head and the end.

- A server is done only if no other has begun to run the request since.
- An answer that comes or ends later than 3 s after its server was done is a fault, whatever else would explain the end.
- Lines of faults name the path, the runs and the bytes that were received.

--- a/tests/platform/soak/clients.cpp
+++ b/tests/platform/soak/clients.cpp
@@ -91,7 +91,7 @@
 // One request, or one pipeline of them.
 auto Clients::use(Connection& connection, ClientKind kind) -> asio::awaitable<void> {
     auto calls = drawCalls(kind);
-    for (auto& call : calls) records_.begin(call.name, TIME_LIMIT);
+    for (auto& call : calls) records_.begin(call.name, TIME_LIMIT).path = call.path;
     connection.stream.expires_after(std::chrono::microseconds(READ_TIMEOUT));
     auto sent = co_await send(connection, kind, calls);
     for (auto& call : calls) {
@@ -148,13 +148,15 @@
 }
 
 auto Clients::receive(Connection& connection, ClientKind kind, const Call& call) -> asio::awaitable<void> {
-    auto response = HttpResponse();
-    auto [failed, count] = co_await http::async_read(connection.stream, connection.buffer, response, quiet);
+    auto parser = http::response_parser<http::string_body>();
+    auto [failed, count] = co_await http::async_read(connection.stream, connection.buffer, parser, quiet);
+    auto& response = parser.get();
+    auto& record = *records_.find(call.name);
+    record.receivedBytes = response.body().size();
     if (failed) {
         connection.usable = false;
         co_return abandon(connection, kind, call, RequestEnd::Cut);
     }
-    auto& record = *records_.find(call.name);
     record.end = RequestEnd::Answered;
     record.endedAt = bootNow();
     record.status = response.result_int();
--- a/tests/platform/soak/long_requests.cpp
+++ b/tests/platform/soak/long_requests.cpp
@@ -70,7 +70,7 @@
             halfOf(request_.name, work.isStream, 0), halfOf(request_.name, work.isStream, 1));
         if (!co_await readUntil(request_.bodyBytes * std::size_t(work.readPercent) / ALL_PERCENT))
             co_return false;
-        if (auto record = records_.find(request_.name)) record->runs++;
+        if (auto record = records_.find(request_.name)) run_ = record->beginRun();
         if (!co_await write(answer.head + answer.firstHalf)) co_return false;
         co_await pause(work.pause);
         secondHalf_ = answer.secondHalf;
@@ -172,7 +172,7 @@
         co_return isOpen;
     }
     auto recordDone() -> void {
-        if (auto record = records_.find(request_.name)) record->serverDoneAt = bootNow();
+        if (auto record = records_.find(request_.name)) record->endRun(run_);
     }
     auto breakOff() -> void {
         auto record = records_.find(request_.name);
@@ -198,6 +198,7 @@
     Records& records_;
     std::string secondHalf_;  // of the answer
     std::size_t read_ = 0;
+    int run_ = 0;
 };
 
 }  // namespace
--- a/tests/platform/soak/loss_rule.cpp
+++ b/tests/platform/soak/loss_rule.cpp
@@ -30,6 +30,9 @@
 /// busy machine needs.
 constexpr Microseconds LOSS_NOTICED = 2 * SECOND + 3 * SECOND;
 
+/// From a server's last byte to the end of its answer at the client, on a busy machine.
+constexpr Microseconds ANSWER_PASSED_ON = 3 * SECOND;
+
 auto inLastSixth(Microseconds at, const PlannedStopRecord& stop) -> bool {
     auto elapsed = at - stop.signalledAt;
     return LAST_SIXTH * elapsed >= (LAST_SIXTH - 1) * stop.grace && elapsed <= stop.grace + AFTER_GRACE;
@@ -68,8 +71,17 @@
 // How far the servers of a request had come, for the line of its fault.
 auto serverProgress(const RequestRecord& request, const PlannedStopRecord& stop) -> std::string {
     if (request.runs == 0) return "passed on to no server";
-    if (!request.serverDoneAt) return "its server at work";
-    return fmt::format("its server done {} us after the signal", request.serverDoneAt - stop.signalledAt);
+    auto progress = fmt::format("run by {} servers, {} bytes received", request.runs, request.receivedBytes);
+    if (!request.serverDoneAt) return progress + ", none done";
+    return fmt::format("{}, done {} us after the signal", progress, request.serverDoneAt - stop.signalledAt);
+}
+
+// What a server has sent whole reaches the client; also in the time that would explain a cut.
+auto judgeDelay(const RequestRecord& request) -> std::optional<std::string> {
+    auto delay = request.endedAt - request.serverDoneAt;
+    if (!request.serverDoneAt || delay <= ANSWER_PASSED_ON) return std::nullopt;
+    return fmt::format("its server was done {} us before its end, {} bytes received, {} us after its begin",
+        delay, request.receivedBytes, request.endedAt - request.begunAt);
 }
 
 auto judgeCut(const RequestRecord& request, const std::optional<PlannedStopRecord>& stop)
@@ -101,12 +113,22 @@
 
 }  // namespace
 
+auto RequestRecord::beginRun() -> int {
+    serverDoneAt = 0;
+    return ++runs;
+}
+
+auto RequestRecord::endRun(int run) -> void {
+    if (run == runs) serverDoneAt = bootNow();
+}
+
 auto overlapsTrouble(const RequestRecord& request, Microseconds lastTroubleAt) -> bool {
     return lastTroubleAt > 0 && lastTroubleAt >= request.begunAt - TROUBLE_BEFORE;
 }
 
 auto judgeRequest(const RequestRecord& request, const std::optional<PlannedStopRecord>& stop)
     -> std::optional<std::string> {
+    if (auto delay = judgeDelay(request)) return delay;
     switch (request.end) {
     case RequestEnd::Answered: return judgeAnswer(request, stop);
     case RequestEnd::Cut: return judgeCut(request, stop);
--- a/tests/platform/soak/loss_rule.hpp
+++ b/tests/platform/soak/loss_rule.hpp
@@ -2,6 +2,7 @@
 // The rule that the soak of planned stops judges by: a request that a node has read is answered completely,
 // but for what whoever stops the node allows to be cut and for answers that their servers break off; and what
 // looks whole is the server's whole answer. Without input or output; times are microseconds of one clock.
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -20,17 +21,24 @@
 /// One request as client, node and server saw it.
 struct RequestRecord {
     std::string name;
+    std::string path;            ///< What it asks of its server.
     Microseconds begunAt = 0;    ///< Its first byte was sent.
     Microseconds sentAt = 0;     ///< Its last byte was sent; 0 where it was not.
     Microseconds endedAt = 0;    ///< Its answer was whole, or its connection's end was seen.
     Microseconds timeLimit = 0;  ///< The client's deadline or the route's timeout, whichever is shorter.
     RequestEnd end = RequestEnd::NotReached;
+    std::size_t receivedBytes = 0;  ///< Of its answer's body.
     int status = 0;                 ///< Of the answer; 0: none came.
     bool wholeBody = false;         ///< The answer is the server's whole answer.
     int runs = 0;                   ///< Servers that began to work on it.
-    Microseconds serverDoneAt = 0;  ///< A server had sent its whole answer; 0: none had.
+    Microseconds serverDoneAt = 0;  ///< The last of them had sent its whole answer; 0: it had not.
     Microseconds brokeOffAt = 0;    ///< A server ended its answer early; 0: none did.
     Microseconds serverPause = 0;   ///< For which that server had read nothing before it broke off.
+
+    /// A server begins to work on it: the number of this run.
+    auto beginRun() -> int;
+    /// The server of a run has sent its whole answer, which counts unless another has begun since.
+    auto endRun(int run) -> void;
 };
 
 /// A planned stop of the node that took a request.
--- a/tests/platform/soak/loss_rule_test.cpp
+++ b/tests/platform/soak/loss_rule_test.cpp
@@ -135,6 +135,38 @@
         }
 }
 
+// Guards against an answer that its server has sent whole and that stays on its way, until a time limit or a
+// stop explains its end.
+TEST(LossRule, findsAnAnswerThatIsPassedOnLate) {
+    for (auto end : {RequestEnd::Answered, RequestEnd::Cut}) {
+        auto request = cutRequest(0, 7 * SECOND);
+        request.end = end;
+        request.status = 200;
+        request.wholeBody = true;
+        request.timeLimit = 5 * SECOND;
+        CHECK(!isFault(request, 8 * SECOND));
+        request.serverDoneAt = request.endedAt - 3 * SECOND;
+        CHECK(!isFault(request, 8 * SECOND));
+        request.serverDoneAt -= 1;
+        CHECK(isFault(request, 8 * SECOND));
+    }
+}
+
+TEST(LossRule, aServerIsDoneUnlessAnotherHasBegunSince) {
+    auto request = cutRequest(0, SECOND);
+    request.runs = 0;
+    auto first = request.beginRun();
+    request.endRun(first);
+    CHECK(request.serverDoneAt > 0);
+    auto second = request.beginRun();
+    CHECK_EQ(Microseconds(0), request.serverDoneAt);
+    request.endRun(first);
+    CHECK_EQ(Microseconds(0), request.serverDoneAt);
+    request.endRun(second);
+    CHECK(request.serverDoneAt > 0);
+    CHECK_EQ(2, request.runs);
+}
+
 // Guards against a sound server's answer that ends as a failure, as when a pause passes for a loss.
 TEST(LossRule, findsASoundAnswerThatEndsAsAFailure) {
     auto request = cutRequest(0, 2 * SECOND);
--- a/tests/platform/soak/model_servers.cpp
+++ b/tests/platform/soak/model_servers.cpp
@@ -140,15 +140,15 @@
     auto name = std::string(request["X-Attempt-Id"]);
     auto work = readWork(std::string(request.target()));
     auto record = records_.find(name);
-    if (record) record->runs++;
-    else records_.recordFault("a server was sent " + name + ", which no client waits for");
+    if (!record) records_.recordFault("a server was sent " + name + ", which no client waits for");
+    auto run = record ? record->beginRun() : 0;
     auto head = "HTTP/1.1 200 OK\r\n" + identityHeaders(name, instance);
     if (!work.isStream) {
         co_await pauseFor(context_, work.pause);
         auto body = answerBody(name, work);
         auto text = fmt::format("{}Content-Length: {}\r\n\r\n{}", head, body.size(), body);
         auto [failed, count] = co_await asio::async_write(socket, asio::buffer(text), quiet);
-        if (record = records_.find(name); record && !failed) record->serverDoneAt = bootNow();
+        if (record = records_.find(name); record && !failed) record->endRun(run);
         co_return !failed;
     }
     auto next = 1 + std::atoi(std::string(request["Last-Event-Id"]).c_str()) / EVENT_STRIDE;
@@ -157,13 +157,15 @@
         co_await pauseFor(context_, work.pause);
         auto part = eventText(name, event);
         text += fmt::format("{:x}\r\n{}\r\n", part.size(), part);
-        if (event == work.events) text += "0\r\n\r\n";
         auto [failed, count] = co_await asio::async_write(socket, asio::buffer(text), quiet);
         if (failed) co_return false;
         text.clear();
     }
-    if (record = records_.find(name); record) record->serverDoneAt = bootNow();
-    co_return true;
+    // Also of a stream that was taken up behind its last event.
+    text += "0\r\n\r\n";
+    auto [failed, count] = co_await asio::async_write(socket, asio::buffer(text), quiet);
+    if (record = records_.find(name); record && !failed) record->endRun(run);
+    co_return !failed;
 }
 
 auto ModelServers::list() const -> std::string {
--- a/tests/platform/soak/records.cpp
+++ b/tests/platform/soak/records.cpp
@@ -46,7 +46,8 @@
     auto fault = judgeRequest(request, stop);
     auto inTrouble = overlapsTrouble(request, lastTroubleAt_);
     tally.notJudged += fault && inTrouble;
-    if (fault && !inTrouble) recordFault(fmt::format("{} {} at node {}: {}", kind, name, node, *fault));
+    if (fault && !inTrouble)
+        recordFault(fmt::format("{} {} {} at node {}: {}", kind, name, request.path, node, *fault));
 }
 
 auto Records::recordTrouble() -> void { lastTroubleAt_ = bootNow(); }
