Tests: the cost of a change of the replicated state is measured in one place

measureChange takes the place of the same 14 lines in StateDistribution and TenantDistribution; the checks and their bounds are the same.

--- a/tests/membership/state_distribution_test.cpp
+++ b/tests/membership/state_distribution_test.cpp
@@ -2,13 +2,13 @@
 // complete state only where these steps have been dropped or do not fit.
 #include <algorithm>
 #include <cstdint>
-#include <cstdlib>
 #include <string>
 
 #include <fmt/format.h>
 
 #include "base/time.hpp"
 #include "large_configuration.hpp"
+#include "membership/change_cost.hpp"
 #include "membership/fleet_fixture.hpp"
 #include "membership/state_history.hpp"
 #include "state/state_digest.hpp"
@@ -100,19 +100,9 @@
     fleet.run(3 * SECOND);
     CHECK(fleet.sameStateEverywhere());
     auto fullStatesBefore = fleet.count("whole_states_sent_total");
-    fleet.countBytes = true;
-    fleet.run(SECOND);
-    auto bytesAtRest = fleet.bytesSent;
-    fleet.bytesSent = 0;
-    auto orderedAt = fleet.t;
-    fleet.change(3);
-    CHECK(fleet.until(SECOND - (fleet.t - orderedAt), [&] { return fleet.sameStateEverywhere(); }));
-    auto duration = fleet.t - orderedAt;
-    fleet.run(SECOND - duration);
-    auto bytes = (fleet.bytesSent - bytesAtRest) / std::int64_t(fleet.nodes.size());
-    if (getenv("DT_SHOW")) fmt::print("{} bytes a node, everywhere after {} us\n", bytes, duration);
-    CHECK(bytes > 100);  // shows that bytes are counted at all
-    CHECK(bytes < 2'000);
+    auto cost = measureChange(
+        fleet, [&] { fleet.change(3); }, [&] { return fleet.sameStateEverywhere(); });
+    CHECK(cost.bytesPerNode < 2'000);
     CHECK_EQ(fullStatesBefore, fleet.count("whole_states_sent_total"));
 }
 
--- a/tests/membership/tenant_distribution_test.cpp
+++ b/tests/membership/tenant_distribution_test.cpp
@@ -1,13 +1,13 @@
 // Dissemination of the withdrawal of tenants' keys to all nodes of a fleet.
 #include <algorithm>
 #include <cstdint>
-#include <cstdlib>
 #include <string>
 
 #include <fmt/format.h>
 
 #include "base/time.hpp"
 #include "large_configuration.hpp"
+#include "membership/change_cost.hpp"
 #include "membership/fleet_fixture.hpp"
 #include "state/tenants.hpp"
 #include "tenant_configuration.hpp"
@@ -65,19 +65,9 @@
     auto muted = MutedLog();
     auto fleet = TenantFleet(61, 72, 76);
     auto fullStatesBefore = fleet.count("whole_states_sent_total");
-    fleet.countBytes = true;
-    fleet.run(SECOND);
-    auto bytesAtRest = fleet.bytesSent;
-    fleet.bytesSent = 0;
-    auto withdrawnAt = fleet.t;
-    fleet.withdraw();
-    CHECK(fleet.until(SECOND - (fleet.t - withdrawnAt), [&] { return fleet.inForceEverywhere(); }));
-    auto duration = fleet.t - withdrawnAt;
-    fleet.run(SECOND - duration);
-    auto bytes = (fleet.bytesSent - bytesAtRest) / std::int64_t(fleet.nodes.size());
-    if (getenv("DT_SHOW")) fmt::print("{} bytes a node, everywhere after {} us\n", bytes, duration);
-    CHECK(bytes > 100);  // shows that bytes are counted at all
-    CHECK(bytes < 10'000);
+    auto cost = measureChange(
+        fleet, [&] { fleet.withdraw(); }, [&] { return fleet.inForceEverywhere(); });
+    CHECK(cost.bytesPerNode < 10'000);
     CHECK_EQ(fullStatesBefore, fleet.count("whole_states_sent_total"));
 }
 
